One owner of a failure domain's engines, and planners of roles

What: the Owner state machine (record by compare-and-swap, its version the fencing token; drain every router, wait for quiet, one order in flight, settle, let in again), the set of routers whose acknowledgement is needed, a planner of roles for each pool, and the task that carries their calls.

Weighed: one record a pool was dropped, because an edit that moves an engine between pools would give it two owners; one record a failure domain keeps its owner. Releasing was stuck when the platform stopped together with the daemons; the fleet tool now stops daemons first.

--- a/src/mangorock/admin.py
+++ b/src/mangorock/admin.py
@@ -200,8 +200,8 @@
         'is_joined': env.is_joined,
         'in_flight': env.in_flight,
         'members': [member_status(env, m) for m in members(env)],
-        'servers': [server_status(v) for v in env.router.views.values()],
-        'duties': [d.status() for d in env.duties.values()],
+        'servers': [server_status(env, v) for v in env.router.views.values()],
+        'duties': [env.owner.status()] if env.owner else [],
     }
 
 
@@ -224,7 +224,7 @@
     }
 
 
-def server_status(view):
+def server_status(env, view):
     """Return what the router knows of one backend server."""
     return {
         'pool': view.pool,
@@ -232,7 +232,7 @@
         'address': view.address,
         'role': view.role,
         'in_flight': len(view.in_flight),
-        'is_draining': view.is_draining or bool(view.drain_token),
+        'is_draining': view.is_draining or view.address in env.router.drained,
         'is_leaving': view.is_leaving,
         'prefill_tps': round(view.prefill_tps),
         'step_ms': round(view.step_s * 1000, 1),
--- a/src/mangorock/daemon.py
+++ b/src/mangorock/daemon.py
@@ -15,6 +15,7 @@
 from mangorock import admin
 from mangorock import calls
 from mangorock import completions
+from mangorock import duties
 from mangorock import environment
 from mangorock import errors
 from mangorock import gossip
@@ -95,6 +96,7 @@
             gossip.probe_forever,
             reports.poll_forever,
             completions.sweep_silent,
+            duties.hold,
         ):
             await self._spawn(loop, env)
         await self._spawn(gossip.join, env)
@@ -125,6 +127,7 @@
         end_s = time.monotonic() + env.settings.stop_timeout_s
         while env.in_flight and time.monotonic() < end_s:
             await curio.sleep(0.05)
+        await duties.release(env)
         await gossip.leave(env)
         return not env.in_flight
 
--- a/src/mangorock/engine.py
+++ b/src/mangorock/engine.py
@@ -48,6 +48,7 @@
 
     ``stored`` and ``evicted`` are the cache events after the ``since``
     that was asked for; ``has_gap`` says that some of them are missing.
+    ``prefilled_tokens`` and ``decoded_tokens`` count up since its start.
     """
 
     role: str
@@ -57,6 +58,8 @@
     queued: int
     queued_tokens: int
     last_event: int
+    prefilled_tokens: int = 0
+    decoded_tokens: int = 0
     stored: tuple = ()
     evicted: tuple = ()
     has_gap: bool = False
@@ -126,6 +129,8 @@
         data['queued'],
         data['queued_tokens'],
         data['last_event'],
+        data['prefilled_tokens'],
+        data['decoded_tokens'],
         stored,
         gone,
         numbers != expected,
--- a/src/mangorock/environment.py
+++ b/src/mangorock/environment.py
@@ -15,6 +15,7 @@
 from mangorock import peers
 from mangorock import platform
 from mangorock import router
+from mangorock import routers
 from mangorock import tables
 
 # Revisions kept to answer peers with deltas.
@@ -48,8 +49,8 @@
     is_joined: bool = False
     in_flight: int = 0
     streams: dict = attrs.field(factory=dict)
-    routers: set = attrs.field(factory=set)
-    duties: dict = attrs.field(factory=dict)
+    router_set: routers.RouterSet = attrs.field(factory=routers.RouterSet)
+    owner: object = None
 
     def take_tables(self, newer):
         """Move forward to a newer revision; older ones have no effect.
--- a/src/mangorock/gossip.py
+++ b/src/mangorock/gossip.py
@@ -113,11 +113,11 @@
 
 def answer_drain(env, message):
     """Stop or resume sending to an engine, for its owner."""
-    key = (message.pool, message.engine)
+    mark = (message.token, message.number)
     if message.is_undrain:
-        env.router.undrain(key, message.token)
-        return peer_pb2.DrainReply(is_accepted=True)
-    count = env.router.drain(key, message.token)
+        is_accepted = env.router.undrain(message.engine, mark)
+        return peer_pb2.DrainReply(is_accepted=is_accepted)
+    count = env.router.drain(message.engine, mark)
     if count is None:
         return peer_pb2.DrainReply(is_accepted=False)
     return peer_pb2.DrainReply(is_accepted=True, in_flight=count)
@@ -125,11 +125,10 @@
 
 def answer_join(env, message):
     """Count a starting router in and tell it what is drained."""
-    env.routers.add(message.vm)
+    env.router_set.join(message.vm)
     drained = [
-        peer_pb2.Drained(pool=v.pool, engine=v.name, token=v.drain_token)
-        for v in env.router.views.values()
-        if v.drain_token
+        peer_pb2.Drained(engine=address, token=token, number=number)
+        for address, (token, number) in env.router.drained.items()
     ]
     return peer_pb2.JoinReply(vm=env.settings.vm, drained=drained)
 
@@ -183,8 +182,8 @@
         env.membership.take_silence(member.vm, time.monotonic())
         return
     for drained in reply.drained:
-        key = (drained.pool, drained.engine)
-        env.router.drain(key, drained.token)
+        mark = (drained.token, drained.number)
+        env.router.drain(drained.engine, mark)
     answered.add(member.vm)
 
 
--- /dev/null
+++ b/src/mangorock/planner.py
@@ -0,0 +1,267 @@
+"""Decides which engines of a pool prefill, decode, or do both.
+
+`Planner` is a state machine without clocks.  It sees what the engines
+report: work done, work queued, speeds.  Demand is taken over a short and a
+long window, and a change is made only if both say that the goodput gained
+over the dwell outweighs the engine-seconds lost plus the pool's own price
+of a role change.  One engine changes at a time, and never one without which
+the pool could not serve.
+"""
+
+import collections
+
+import attrs
+
+from mangorock import owner
+
+SHORT_WINDOW_S = 10.0
+LONG_WINDOW_S = 40.0
+DWELL_S = 60.0
+AWAY_S = 4.0
+TARGET_STEP_S = 0.037
+CHUNK_TOKENS = 512
+BATCH_SLOTS = 64
+MIN_GAIN = 0.02
+
+
+@attrs.frozen
+class Load:
+    """One engine as reported: role, speeds, work done and queued."""
+
+    address: str
+    role: str
+    prefill_tps: float
+    step_s: float
+    prefilled_tokens: int
+    decoded_tokens: int
+    queued_tokens: int
+
+    def decode_tps(self):
+        """Return the most tokens a second, with every slot taken."""
+        return BATCH_SLOTS / (2.0 * self.step_s)
+
+
+@attrs.frozen
+class Demand:
+    """Work asked of a pool, tokens a second."""
+
+    prefill_tps: float
+    decode_tps: float
+
+
+@attrs.define
+class Planner:
+    """The plan of one pool in one failure domain."""
+
+    price_s: float = 10.0
+    samples: collections.deque = attrs.field(factory=collections.deque)
+    target: dict = attrs.field(factory=dict)
+    planned_at_s: float = -1e9
+    changes: int = 0
+
+    def decide(self, loads, now):
+        """Return ``(address, role)`` of the next change, or ``None``."""
+        self._sample(loads, now)
+        if now - self.planned_at_s >= DWELL_S:
+            self._plan(loads, now)
+        return self._next_change(loads)
+
+    def _sample(self, loads, now):
+        done = {
+            load.address: (
+                load.prefilled_tokens + load.queued_tokens,
+                load.decoded_tokens,
+            )
+            for load in loads
+        }
+        self.samples.append((now, done))
+        while self.samples[0][0] < now - LONG_WINDOW_S:
+            self.samples.popleft()
+
+    def demand(self, window_s):
+        """Return the `Demand` over the last seconds, or ``None``.
+
+        An engine that restarted counts from nothing again; its part of the
+        window is left out rather than taken as negative.
+        """
+        newest_s, newest = self.samples[-1]
+        oldest_s, oldest = next(
+            s for s in self.samples if s[0] >= newest_s - window_s
+        )
+        seconds = newest_s - oldest_s
+        if seconds < window_s / 2:
+            return None
+        prefill = decode = 0
+        for address, (asked, decoded) in newest.items():
+            before = oldest.get(address, (asked, decoded))
+            prefill += max(0, asked - before[0])
+            decode += max(0, decoded - before[1])
+        return Demand(prefill / seconds, decode / seconds)
+
+    def _plan(self, loads, now):
+        demands = [self.demand(SHORT_WINDOW_S), self.demand(LONG_WINDOW_S)]
+        if None in demands or not loads:
+            return
+        current = {load.address: load.role for load in loads}
+        best = max(
+            candidate_roles(loads),
+            key=lambda roles: (
+                min(goodput(loads, roles, d) for d in demands),
+                -count_changes(current, roles),
+            ),
+        )
+        changes = count_changes(current, best)
+        if not changes:
+            return
+        lost_s = changes * (AWAY_S + self.price_s)
+        for demand in demands:
+            gain = goodput(loads, best, demand)
+            gain -= goodput(loads, current, demand)
+            if gain < MIN_GAIN or gain * len(loads) * DWELL_S <= lost_s:
+                return
+        self.target = best
+        self.planned_at_s = now
+
+    def _next_change(self, loads):
+        roles = {load.address: load.role for load in loads}
+        for load in loads:
+            wanted = self.target.get(load.address, load.role)
+            if wanted == load.role:
+                continue
+            rest = [r for a, r in roles.items() if a != load.address]
+            if can_serve(rest):
+                return load.address, wanted
+        return None
+
+
+def can_serve(roles):
+    """Say whether engines of these roles can serve a whole request."""
+    if 'mixed' in roles:
+        return True
+    return 'prefill' in roles and 'decode' in roles
+
+
+def candidate_roles(loads):
+    """Return the assignments to compare: all mixed, and every split.
+
+    The engines with the best prefill for their decode speed prefill.
+    """
+    ranked = sorted(
+        loads,
+        key=lambda x: (x.prefill_tps / x.decode_tps(), x.address),
+        reverse=True,
+    )
+    found = [{load.address: 'mixed' for load in loads}]
+    for count in range(1, len(ranked)):
+        found.append(
+            {
+                load.address: 'prefill' if i < count else 'decode'
+                for i, load in enumerate(ranked)
+            }
+        )
+    return found
+
+
+def count_changes(current, wanted):
+    """Return how many engines would change their role."""
+    return sum(current[a] != role for a, role in wanted.items())
+
+
+def goodput(loads, roles, demand):
+    """Return the part of the demand served in time, 0 to 1.
+
+    Prefill chunks between the steps of a mixed engine lengthen the time
+    between its tokens; where that passes the target, the excess counts as
+    lost.
+    """
+    prefill = decode = mixed_prefill = mixed_decode = 0.0
+    steps = []
+    for load in loads:
+        match roles[load.address]:
+            case 'prefill':
+                prefill += load.prefill_tps
+                continue
+            case 'decode':
+                decode += load.decode_tps()
+            case _:
+                mixed_prefill += load.prefill_tps
+                mixed_decode += load.decode_tps()
+        steps.append(load.step_s)
+    if mixed_prefill:
+        busy = demand.prefill_tps / (mixed_prefill + prefill)
+        busy_decode = demand.decode_tps / (mixed_decode + decode)
+        served = 1.0 / max(1.0, busy + busy_decode)
+        chunk_s = CHUNK_TOKENS / (mixed_prefill / len(steps))
+        step_s = max(steps) + min(1.0, busy) * chunk_s
+    else:
+        served = min(
+            1.0,
+            prefill / max(demand.prefill_tps, 1e-9),
+            decode / max(demand.decode_tps, 1e-9),
+        )
+        step_s = max(steps, default=TARGET_STEP_S)
+    return served * min(1.0, TARGET_STEP_S / step_s)
+
+
+class Planners:
+    """The planners of one failure domain's pools, for its owner."""
+
+    def __init__(self, env):
+        self.env = env
+        self.planners = {}
+        self.next_s = 0.0
+
+    def wishes(self, holder, now):
+        """Return the `owner.Wish` events due now."""
+        if holder.phase is not owner.Phase.OWNING or now < self.next_s:
+            return []
+        self.next_s = now + self.env.settings.plan_interval_s
+        wishes = []
+        for pool in self.env.tables.pools.values():
+            if pool.kind == 'engines':
+                wishes += self._pool_wishes(pool, holder, now)
+        return wishes
+
+    def _pool_wishes(self, pool, holder, now):
+        views = [
+            v
+            for v in self.env.router.views.values()
+            if v.pool == pool.name and v.report is not None
+        ]
+        if pool.planning == 'static':
+            return [
+                owner.Wish(v.address, pool.servers[v.name].role)
+                for v in views
+                if v.name in pool.servers
+                and pool.servers[v.name].role != v.report.role
+            ]
+        planner = self.planners.setdefault(pool.name, Planner())
+        planner.price_s = pool.role_change_price_s
+        change = planner.decide([load_of(v) for v in views], now)
+        if change is None or self._is_changing(views, holder):
+            return []
+        return [owner.Wish(*change)]
+
+    @staticmethod
+    def _is_changing(views, holder):
+        """Say whether an engine of the pool is in a change already."""
+        stages = [
+            holder.owned[v.address].stage
+            for v in views
+            if v.address in holder.owned
+        ]
+        return any(stage is not owner.Stage.OPEN for stage in stages)
+
+
+def load_of(view):
+    """Return the `Load` of a router's view."""
+    report = view.report
+    return Load(
+        view.address,
+        report.role,
+        view.prefill_tps,
+        view.step_s,
+        report.prefilled_tokens,
+        report.decoded_tokens,
+        report.queued_tokens,
+    )
--- a/src/mangorock/router.py
+++ b/src/mangorock/router.py
@@ -21,6 +21,7 @@
 # KV cache moved between engines, in prompt tokens a second.
 TRANSFER_TPS = 100_000.0
 BATCH_SLOTS = 64
+NO_MARK = (0, 0)
 
 
 @attrs.frozen
@@ -46,11 +47,7 @@
 
 @attrs.define
 class View:
-    """What this daemon knows of one backend server.
-
-    ``drain_token`` is the fencing token of the owner who announced a
-    drain, 0 when none did.
-    """
+    """What this daemon knows of one backend server."""
 
     pool: str
     name: str
@@ -62,8 +59,6 @@
     report_at_s: float = -1e9
     is_draining: bool = False
     is_leaving: bool = False
-    drain_token: int = 0
-    undrain_token: int = 0
     paused_until_s: float = -1e9
     prefill_tps: float = DEFAULT_PREFILL_TPS
     step_s: float = DEFAULT_STEP_S
@@ -75,7 +70,7 @@
 
     def may_take(self, now):
         """Say whether new work may be sent there."""
-        if self.is_draining or self.is_leaving or self.drain_token:
+        if self.is_draining or self.is_leaving:
             return False
         if self.report is not None and (
             self.report.is_leaving or self.report.is_changing
@@ -133,6 +128,8 @@
     routers: int = 1
     views: dict = attrs.field(factory=dict)
     turns: dict = attrs.field(factory=dict)
+    drained: dict = attrs.field(factory=dict)
+    undrained: dict = attrs.field(factory=dict)
     has_corrections: bool = True
 
     def take_tables(self, tables):
@@ -186,27 +183,31 @@
         view.report_at_s = now
         view.role = report.role
 
-    def drain(self, key, token):
-        """Stop new work under ``token``; return the in-flight count.
+    def drain(self, address, mark):
+        """Stop new work for an engine under ``mark``.
 
-        An older token than one already heard has no effect and returns
-        ``None``.
+        Returns the number of requests in flight there, or ``None`` when an
+        owner with a higher mark has let this router in again.
         """
-        view = self.views.get(key)
-        if view is None:
-            return 0
-        if token < max(view.drain_token, view.undrain_token):
+        if mark <= self.undrained.get(address, NO_MARK):
+            return None
+        if mark < self.drained.get(address, NO_MARK):
             return None
-        view.drain_token = token
-        return len(view.in_flight)
+        self.drained[address] = mark
+        return sum(
+            len(view.in_flight)
+            for view in self.views.values()
+            if view.address == address
+        )
 
-    def undrain(self, key, token):
-        """Allow new work again, if ``token`` is not an old one."""
-        view = self.views.get(key)
-        if view is None or token < max(view.drain_token, view.undrain_token):
-            return
-        view.drain_token = 0
-        view.undrain_token = token
+    def undrain(self, address, mark):
+        """Allow new work again; return whether ``mark`` was high enough."""
+        if mark < self.drained.get(address, NO_MARK):
+            return False
+        self.drained.pop(address, None)
+        known = self.undrained.get(address, NO_MARK)
+        self.undrained[address] = max(mark, known)
+        return True
 
     def candidates(self, pool, now, roles, excluded=()):
         """Return the views of a pool that may take work now."""
@@ -216,6 +217,7 @@
             if view.pool == pool
             and view.role in roles
             and view.address not in excluded
+            and view.address not in self.drained
             and view.may_take(now)
         ]
 
--- /dev/null
+++ b/src/mangorock/routers.py
@@ -0,0 +1,47 @@
+"""Which daemons of a failure domain may be routing to its engines.
+
+An owner must have an acknowledgement of each of them before it orders a
+planned change.  A daemon counts from the moment it joins, and until it has
+left gracefully or the platform's list, having shown its VM, has not shown
+it for `GONE_S`: a silent daemon may be paused with a request half sent.
+"""
+
+import attrs
+
+# Longer than the VM list may lag, plus the longest life of a connection.
+GONE_S = 30.0
+
+
+@attrs.define
+class RouterSet:
+    """The routers known, and since when each is off the VM list."""
+
+    known: set = attrs.field(factory=set)
+    listed: set = attrs.field(factory=set)
+    missing_since_s: dict = attrs.field(factory=dict)
+
+    def join(self, vm):
+        """Count a router in."""
+        self.known.add(vm)
+        self.missing_since_s.pop(vm, None)
+
+    def leave(self, vm):
+        """Count out a router that has ended its last request."""
+        self.known.discard(vm)
+
+    def take_list(self, vms, now):
+        """Take the names on the platform's list."""
+        names = set(vms)
+        self.listed |= names
+        for vm in list(self.known):
+            if vm in names:
+                self.missing_since_s.pop(vm, None)
+            elif vm in self.listed:
+                self.missing_since_s.setdefault(vm, now)
+                if now - self.missing_since_s[vm] >= GONE_S:
+                    self.known.discard(vm)
+                    del self.missing_since_s[vm]
+
+    def current(self):
+        """Return the VMs whose acknowledgement is needed."""
+        return frozenset(self.known)
--- a/src/mangorock_standins/engine.py
+++ b/src/mangorock_standins/engine.py
@@ -192,6 +192,8 @@
             'queued': len(self.prefills),
             'queued_tokens': sum(s.uncached for s in self.prefills),
             'last_event': self.last_event,
+            'prefilled_tokens': self.counts['prefill_tokens'],
+            'decoded_tokens': self.counts['tokens'],
         }
 
     def state(self):
@@ -310,7 +312,11 @@
             await shell.answer(responder, 409, {'error': 'changing'})
             return
         eng.orders.append(record | {'result': 'taken'})
-        eng.token, eng.order_id = order.token, order.order_id
+        eng.token = order.token
+        if order.kind == 'fence':
+            await shell.answer(responder, 202, {})
+            return
+        eng.order_id = order.order_id
         eng.is_changing = True
         await curio.spawn(self._change, order, daemon=True)
         await shell.answer(responder, 202, {})
--- a/src/mangorock_standins/fleet.py
+++ b/src/mangorock_standins/fleet.py
@@ -102,6 +102,8 @@
         self.desk = pathlib.Path(desk)
         self.out = pathlib.Path(out)
         self.out.mkdir(parents=True, exist_ok=True)
+        for old in self.out.glob('*.log'):
+            old.unlink()
         self.config = self._read('fleet.json')
         self.tables = self._read('tables.json')
         self.extra_flags = list(extra_flags)
@@ -288,10 +290,14 @@
 
     def close(self):
         """Stop everything that was started."""
-        processes = [d.process for d in self.daemons.values()]
-        processes += self.servers.values()
+        self._stop([d.process for d in self.daemons.values()])
+        rest = list(self.servers.values())
         if self.platform is not None:
-            processes.append(self.platform)
+            rest.append(self.platform)
+        self._stop(rest)
+
+    @staticmethod
+    def _stop(processes):
         for process in processes:
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGTERM)
