--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -31,8 +31,8 @@
 LONG = st.sampled_from([2.0, 5.0, 8.0, 15.0, 35.0])
 
 
-class Cluster(stateful.RuleBasedStateMachine):
-    """Faults, callers and operators, in any order."""
+class Base(stateful.RuleBasedStateMachine):
+    """Time, completions, planned changes, and the check at the end."""
 
     checks = (False, True)
 
@@ -79,6 +79,76 @@
                 lambda node=node, call_id=call_id: node.complete(call_id),
             )
 
+    @stateful.rule(
+        number=st.integers(0, 1), role=st.sampled_from(['mixed', 'prefill'])
+    )
+    def wish(self, number, role):
+        address = list(self.world.engines)[number]
+        for node in self.world.nodes.values():
+            if node.is_alive and not node.is_paused:
+                node.feed(owner.Wish(address, role))
+
+    @stateful.rule()
+    def pause_owner_before_its_next_call(self):
+        for node in self.world.nodes.values():
+            if node.owner.phase is owner.Phase.OWNING and node.is_alive:
+                node.is_paused = True
+
+    @stateful.rule()
+    def resume_all(self):
+        for vm in list(self.world.nodes):
+            self.world.resume(vm)
+
+    # Liveness.
+
+    def recover(self):
+        """After the faults end, everything works again in time."""
+        self.world.heal()
+        self.run_time(RECOVERY_S)
+        revision = self.world.edit(
+            'ops', 'r9', 1, self.world.accepted.get('r9', (0, 0))[0]
+        )
+        self.run_time(IN_FORCE_S)
+        nodes = list(self.world.nodes.values())
+        behind = [n.vm for n in nodes if n.tables.revision < revision]
+        assert not behind, f'revision {revision} is not in force: {behind}'
+        rows = nodes[0].tables.routes
+        for name, (_, priority) in self.world.accepted.items():
+            assert rows[name].priority == priority, f'{name} reverted'
+        self.check_owner(nodes)
+        self.check_calls(nodes)
+
+    def check_owner(self, nodes):
+        """One node owns the engines, and none is left drained."""
+        owners = [n for n in nodes if n.owner.phase is owner.Phase.OWNING]
+        states = [(n.vm, n.owner.phase.value, n.is_joined) for n in nodes]
+        assert len(owners) == 1, f'owners: {states}'
+        for node in nodes:
+            assert not node.router.drained, f'{node.vm} still drains'
+
+    def check_calls(self, nodes):
+        """A completion and an order succeed at every node."""
+        for address in self.world.engines:
+            for node in nodes:
+                node.feed(owner.Wish(address, 'mixed'))
+        self.run_time(20.0)
+        for node in nodes:
+            if node.domain == 'a':
+                node.complete(self.next_id())
+                node.order(self.next_id(), f'fresh{self.calls}')
+        self.run_time(20.0)
+        for node in nodes:
+            if node.domain == 'a':
+                ends = (node.requests[-1].end, node.orders[-1].end)
+                assert ends == ('whole', 'whole'), f'{node.vm}: {ends}'
+
+    def teardown(self):
+        self.recover()
+
+
+class Cluster(Base):
+    """Faults, callers and operators, in any order."""
+
     @stateful.rule(number=NODES, key=st.sampled_from(['', 'k1', 'k2', 'k3']))
     def order(self, number, key):
         node = self.node(number)
@@ -100,15 +170,6 @@
         except errors.Conflict:
             assert expected != last, 'a fresh edit conflicted'
 
-    @stateful.rule(
-        number=st.integers(0, 1), role=st.sampled_from(['mixed', 'prefill'])
-    )
-    def wish(self, number, role):
-        address = list(self.world.engines)[number]
-        for node in self.world.nodes.values():
-            if node.is_alive and not node.is_paused:
-                node.feed(owner.Wish(address, role))
-
     # Faults.
 
     @stateful.rule(number=NODES)
@@ -127,21 +188,10 @@
     def pause(self, number):
         self.world.pause(self.node(number).vm)
 
-    @stateful.rule()
-    def pause_owner_before_its_next_call(self):
-        for node in self.world.nodes.values():
-            if node.owner.phase is owner.Phase.OWNING and node.is_alive:
-                node.is_paused = True
-
     @stateful.rule(number=NODES)
     def resume(self, number):
         self.world.resume(self.node(number).vm)
 
-    @stateful.rule()
-    def resume_all(self):
-        for vm in list(self.world.nodes):
-            self.world.resume(vm)
-
     @stateful.rule(number=NODES)
     def stop(self, number):
         node = self.node(number)
@@ -187,51 +237,64 @@
     def cross_a_message(self):
         self.world.crossed.append('another')
 
-    # Liveness.
 
-    def recover(self):
-        """After the faults end, everything works again in time."""
-        self.world.heal()
-        self.run_time(RECOVERY_S)
-        revision = self.world.edit(
-            'ops', 'r9', 1, self.world.accepted.get('r9', (0, 0))[0]
-        )
-        self.run_time(IN_FORCE_S)
-        nodes = list(self.world.nodes.values())
-        behind = [n.vm for n in nodes if n.tables.revision < revision]
-        assert not behind, f'revision {revision} is not in force: {behind}'
-        rows = nodes[0].tables.routes
-        for name, (_, priority) in self.world.accepted.items():
-            assert rows[name].priority == priority, f'{name} reverted'
-        self.check_owner(nodes)
-        self.check_calls(nodes)
+class Changes(Base):
+    """Planned changes under traffic, with late orders and lost owners."""
 
-    def check_owner(self, nodes):
-        """One node owns the engines, and none is left drained."""
-        owners = [n for n in nodes if n.owner.phase is owner.Phase.OWNING]
-        states = [(n.vm, n.owner.phase.value, n.is_joined) for n in nodes]
-        assert len(owners) == 1, f'owners: {states}'
-        for node in nodes:
-            assert not node.router.drained, f'{node.vm} still drains'
+    checks = (False, False)
 
-    def check_calls(self, nodes):
-        """A completion and an order succeed at every node."""
-        for address in self.world.engines:
-            for node in nodes:
-                node.feed(owner.Wish(address, 'mixed'))
-        self.run_time(20.0)
-        for node in nodes:
-            if node.domain == 'a':
+    @stateful.rule(
+        number=st.integers(0, 1),
+        role=st.sampled_from(['mixed', 'prefill']),
+        seconds=st.sampled_from([6.0, 12.0, 18.0]),
+    )
+    def wish_with_a_late_order(self, number, role, seconds):
+        self.world.order_delay_s = seconds
+        self.wish(number, role)
+        self.run_time(4.0)
+
+    @stateful.rule(
+        number=st.integers(0, 1), role=st.sampled_from(['mixed', 'prefill'])
+    )
+    def pause_owner_at_its_order(self, number, role):
+        self.world.pauses_before_order = True
+        self.wish(number, role)
+        self.run_time(4.0)
+
+    @stateful.rule(seconds=LONG)
+    def resume_all_under_traffic(self, seconds):
+        self.run_time(seconds)
+        for node in self.world.nodes.values():
+            if node.is_alive and not node.is_paused:
                 node.complete(self.next_id())
-                node.order(self.next_id(), f'fresh{self.calls}')
-        self.run_time(20.0)
-        for node in nodes:
-            if node.domain == 'a':
-                ends = (node.requests[-1].end, node.orders[-1].end)
-                assert ends == ('whole', 'whole'), f'{node.vm}: {ends}'
+                node.complete(self.next_id())
+        self.run_time(0.5)
+        self.resume_all()
 
-    def teardown(self):
-        self.recover()
+    @stateful.rule()
+    def replace_owner(self):
+        for vm, node in list(self.world.nodes.items()):
+            if node.owner.phase is owner.Phase.OWNING:
+                self.world.replace(vm)
+
+    @stateful.rule(number=NODES)
+    def pause_just_after_a_choice(self, number):
+        node = self.node(number)
+        if node.is_alive and not node.is_paused:
+            node.complete(self.next_id())
+            node.is_paused = True
+
+    @stateful.rule(number=NODES)
+    def start_again(self, number):
+        node = self.node(number)
+        if not node.is_alive:
+            self.world.restart(node.vm)
+
+
+class CheckingChanges(Changes):
+    """The same with engines that check tokens."""
+
+    checks = (True, True)
 
 
 class CheckingCluster(Cluster):
@@ -261,6 +324,12 @@
     def test_engines_that_check_nothing(self):
         run(PlainCluster)
 
+    def test_changes_of_engines_that_check_nothing(self):
+        run(Changes)
+
+    def test_changes_of_engines_that_check_tokens(self):
+        run(CheckingChanges)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/world.py
+++ b/tests/world.py
@@ -96,9 +96,13 @@
             self.role, self.is_changing, count, self.order_id, self.token
         )
 
+    def is_old(self, order):
+        """Say whether the order's token is an old one."""
+        return order.token < self.token
+
     def take_order(self, order):
         """Take an order; raise `Violation` on what must never come."""
-        if self.checks and order.token < self.token:
+        if self.checks and self.is_old(order):
             return owner.Outcome.REFUSED
         if order.token < self.acted:
             raise Violation(f'order of a lapsed owner took effect: {order}')
@@ -261,8 +265,12 @@
         node.router.sent(choice, self.demand, node.world.clock.now)
         fake = node.world.engines[choice.view.address]
         attempt = Attempt(node, self, fake, choice)
-        node.world.rpc(
-            node,
+        # A process can be paused between its choice and its send.
+        node.world.clock.after(0.001, node, lambda: self._send(attempt, fake))
+
+    def _send(self, attempt, fake):
+        attempt.node.world.rpc(
+            attempt.node,
             'a',
             lambda: fake.take_request(attempt),
             lambda taken: self._on_taken(attempt, taken),
@@ -663,6 +671,11 @@
 
     def send_order(self, action):
         """Send an order once; it may arrive long after it was given up."""
+        if self.world.pauses_before_order:
+            self.world.pauses_before_order = False
+            self.is_paused = True
+            self.backlog.append(lambda: self.send_order(action))
+            return
         fake = self.world.engines[action.engine]
         self.world.rpc(
             self,
@@ -798,6 +811,7 @@
         self.cuts = set()
         self.crossed = []
         self.order_delay_s = 0.0
+        self.pauses_before_order = False
         self.service_unreachable = 0
         self.effects = collections.Counter()
         self.effect_calls = set()
@@ -1003,6 +1017,7 @@
         self.crossed.clear()
         self.service_unreachable = 0
         self.order_delay_s = 0.0
+        self.pauses_before_order = False
         for fake in self.engines.values():
             fake.crashes_in_change = False
         for vm, node in list(self.nodes.items()):
