--- a/src/mangorock/completions.py
+++ b/src/mangorock/completions.py
@@ -70,10 +70,10 @@
     identity = forward.identify_caller(env, call, request.headers)
     work = make_work(env, call, identity, request, responder)
     choice = choose(work)
-    expected_s = choice.expected_s if choice else 0.0
+    estimate = env.router.estimate(work.pool.name, work.demand, work.started_s)
     left_s = work.deadline_s - work.started_s
     env.limiter.admit(
-        identity, work.pool, expected_s, left_s, env.random.random()
+        identity, work.pool, estimate, left_s, env.random.random()
     )
     work.first_choice = choice
     env.budget.earn()
--- a/src/mangorock/identify.py
+++ b/src/mangorock/identify.py
@@ -47,11 +47,11 @@
         )
     digest = hashlib.sha256(key.encode()).hexdigest()
     route = tables.routes.get(route_name)
-    found = _find_account(route, digest) if route else None
+    found = _find_account(tables, route, digest) if route else None
     if found is not None:
         name, account = found
         return Identity(route, name, account.share)
-    if not _is_known(tables, digest):
+    if digest not in tables.keys():
         raise errors.Unauthenticated(
             'the key is unknown; check it, or ask the operator to add '
             'your client account'
@@ -67,15 +67,16 @@
     )
 
 
-def _find_account(route, digest):
-    for name, account in route.accounts.items():
-        if hmac.compare_digest(account.key_sha256, digest):
-            return name, account
-    return None
+def _find_account(tables, route, digest):
+    """Return (name, account) of a key on a route, or ``None``.
 
-
-def _is_known(tables, digest):
-    return any(
-        _find_account(route, digest) is not None
-        for route in tables.routes.values()
-    )
+    The look-up goes by the digest, whose timing tells nothing of the key;
+    the found one is then compared in constant time.
+    """
+    name = tables.keys().get(digest)
+    account = route.accounts.get(name)
+    if account is None:
+        return None
+    if not hmac.compare_digest(account.key_sha256, digest):
+        return None
+    return name, account
--- a/src/mangorock/limits.py
+++ b/src/mangorock/limits.py
@@ -11,9 +11,9 @@
 
 from mangorock import errors
 
-# A pool counts as contended when the expected time to finish passes this
-# part of the deadline.
-CONTENDED_AT = 0.5
+# A pool counts as contended when other requests are expected to take this
+# part of the time to the deadline.
+CONTENDED_AT = 0.25
 # An account may pass its fair share by this factor before it is refused.
 SHARE_SLACK = 1.25
 RETRY_SHARE = 0.1
@@ -62,15 +62,16 @@
 
     pools: dict = attrs.field(factory=dict)
 
-    def admit(self, identity, pool, expected_s, left_s, spread):
+    def admit(self, identity, pool, estimate, left_s, spread):
         """Count the request in, or raise.
 
-        ``expected_s`` is the best expected time to finish, ``left_s`` the
-        time to the deadline, ``spread`` a number in [0, 1) that spreads
+        ``estimate`` is the best `router.Estimate`, ``left_s`` the time to
+        the deadline, ``spread`` a number in [0, 1) that spreads
         Retry-After.  Raises `errors.DeadlineExceeded`,
         `errors.Overloaded` or `errors.AccountLimit`.
         """
         load = self.pools.setdefault(pool.name, PoolLoad())
+        expected_s = estimate.total_s
         wait_s = min(
             max(expected_s - left_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S
         )
@@ -88,8 +89,7 @@
                 'flight here; retry later',
                 retry_after_s=retry_after_s,
             )
-        contention = expected_s / left_s
-        if contention > CONTENDED_AT:
+        if estimate.wait_s > left_s * CONTENDED_AT:
             self._check_share(identity, load, pool, retry_after_s)
         self._count(load, identity)
 
--- a/src/mangorock/router.py
+++ b/src/mangorock/router.py
@@ -12,6 +12,7 @@
 import attrs
 
 CANDIDATES = 3
+ESTIMATED = 12
 MAX_PIECES = 4096
 DEFAULT_PREFILL_TPS = 10_000.0
 DEFAULT_STEP_S = 0.03
@@ -114,6 +115,14 @@
     prefill: View | None = None
 
 
+@attrs.frozen(order=True)
+class Estimate:
+    """Expected seconds to finish, and the part due to other requests."""
+
+    total_s: float
+    wait_s: float
+
+
 @attrs.define
 class Router:
     """The views of all backend servers this daemon may send to.
@@ -314,6 +323,40 @@
         slowdown = 1.0 + running / BATCH_SLOTS
         return prefill_s + demand.output_tokens * view.step_s * slowdown
 
+    def estimate(self, pool, demand, now):
+        """Return the `Estimate` of the best server, for admission.
+
+        It does not depend on the policy.  Of many servers a larger sample
+        than for the choice is looked at, so the cost of a request does not
+        grow with the fleet.
+        """
+        mixed = self.candidates(pool, now, ('mixed',))
+        if len(mixed) > ESTIMATED:
+            mixed = self.random.sample(mixed, ESTIMATED)
+        found = [self._estimate(view, demand, now) for view in mixed]
+        prompt = attrs.evolve(demand, output_tokens=0)
+        output = attrs.evolve(demand, prompt_tokens=0, pieces=())
+        first = [
+            self._estimate(view, prompt, now)
+            for view in self.candidates(pool, now, ('prefill',))
+        ]
+        second = [
+            self._estimate(view, output, now)
+            for view in self.candidates(pool, now, ('decode',))
+        ]
+        if first and second:
+            one, two = min(first), min(second)
+            found.append(
+                Estimate(one.total_s + two.total_s, one.wait_s + two.wait_s)
+            )
+        return min(found, default=Estimate(0.0, 0.0))
+
+    def _estimate(self, view, demand, now):
+        total_s = self.expect(view, demand, now)
+        idle_s = self._uncached(view, demand) / view.prefill_tps
+        idle_s += demand.output_tokens * view.step_s
+        return Estimate(total_s, max(0.0, total_s - idle_s))
+
     @staticmethod
     def _unseen(view, now):
         since = view.report_at_s - REPORT_LAG_S
--- a/src/mangorock/services.py
+++ b/src/mangorock/services.py
@@ -19,6 +19,7 @@
 from mangorock import errors
 from mangorock import forward
 from mangorock import logs
+from mangorock import router
 
 READ_METHODS = ('GET', 'HEAD')
 REPLAYED_HEADER = ('x-mangorock-replayed', 'true')
@@ -51,7 +52,11 @@
     work = make_work(env, call, request)
     left_s = work.deadline_s - time.monotonic()
     env.limiter.admit(
-        work.identity, work.pool, 0.0, left_s, env.random.random()
+        work.identity,
+        work.pool,
+        router.Estimate(0.0, 0.0),
+        left_s,
+        env.random.random(),
     )
     env.budget.earn()
     try:
--- a/src/mangorock/tables.py
+++ b/src/mangorock/tables.py
@@ -66,6 +66,15 @@
     pools: dict
     row_revisions: dict
     changes: tuple
+    _keys: dict = attrs.field(factory=dict, eq=False, repr=False)
+
+    def keys(self):
+        """Return a dict of key digest to account name, over all routes."""
+        if not self._keys:
+            for route in self.routes.values():
+                for name, account in route.accounts.items():
+                    self._keys[account.key_sha256] = name
+        return self._keys
 
     def to_data(self):
         """Return the value as JSON-able data."""
@@ -164,9 +173,16 @@
 def _check_keys(routes):
     faults = []
     seen = {}
+    digests = {}
     for route in routes.values():
         for name, account in route.accounts.items():
             other = seen.setdefault(account.key_sha256, name)
+            digest = digests.setdefault(name, account.key_sha256)
+            if digest != account.key_sha256:
+                faults.append(
+                    f'routes.{route.name}.accounts.{name}: another key than '
+                    'on another route; give an account one key'
+                )
             if other != name:
                 faults.append(
                     f'routes.{route.name}.accounts.{name}: same key as '
@@ -201,13 +217,15 @@
     kept = [*tables.changes, change][-MAX_CHANGES:]
     data['changes'] = [attrs.asdict(c) for c in kept]
     data['revision'] = revision
-    size = len(orjson.dumps(data))
+    newer = from_data(data)
+    # Measured with the defaults filled in, as it will be stored.
+    size = len(orjson.dumps(newer.to_data()))
     if size > MAX_VALUE_BYTES:
         raise errors.InvalidTables(
             f'the tables would take {size} bytes of at most '
             f'{MAX_VALUE_BYTES}; remove rows or accounts first'
         )
-    return from_data(data)
+    return newer
 
 
 def _check_edit(tables, edit):
--- /dev/null
+++ b/tests/test_units.py
@@ -0,0 +1,421 @@
+"""The parts that need no other process: tables, settings, checks, limits."""
+
+import random
+import unittest
+
+import orjson
+
+from mangorock import calls
+from mangorock import claims
+from mangorock import ctl
+from mangorock import engine
+from mangorock import errors
+from mangorock import http
+from mangorock import identify
+from mangorock import limits
+from mangorock import logs
+from mangorock import metrics
+from mangorock import planner
+from mangorock import relay
+from mangorock import router
+from mangorock import rows
+from mangorock import settings
+from mangorock import tables
+from mangorock_standins import fleet
+
+KEY = 'a-key-of-a-caller'
+
+
+def make_tables(**route):
+    """Return tables of one route and one pool."""
+    row = {
+        'name': 'r',
+        'pool': 'p',
+        'accounts': {'acme': {'key_sha256': fleet.key_digest(KEY)}},
+        **route,
+    }
+    data = {
+        'revision': 1,
+        'routes': {'r': row},
+        'pools': {
+            'p': {
+                'name': 'p',
+                'servers': {
+                    f'e{i}': {
+                        'address': f'10.0.0.{i}:80',
+                        'failure_domain': 'a',
+                    }
+                    for i in range(1, 5)
+                },
+            }
+        },
+    }
+    return tables.from_data(data)
+
+
+class TestTables(unittest.TestCase):
+    def test_every_fault_is_reported_with_its_remedy(self):
+        data = {
+            'routes': {
+                'r': {'name': 'other', 'pool': 'none', 'priority': 77},
+                'bad name': {'name': 'bad name', 'pool': 'p'},
+            },
+            'pools': {
+                'p': {
+                    'name': 'p',
+                    'speed': 1,
+                    'servers': {
+                        'e': {'address': 'host:80', 'failure_domain': 'a'}
+                    },
+                }
+            },
+        }
+        with self.assertRaises(errors.InvalidTables) as caught:
+            tables.from_data(data)
+        message = caught.exception.message
+        for words in ('priority', 'bad name', 'speed', 'IP:port', 'write'):
+            self.assertIn(words, message)
+
+    def test_route_that_joins_to_nothing(self):
+        data = {'routes': {'r': {'name': 'r', 'pool': 'none'}}, 'pools': {}}
+        with self.assertRaisesRegex(errors.InvalidTables, 'add the pool'):
+            tables.from_data(data)
+
+    def test_server_in_two_pools(self):
+        server = {'address': '10.0.0.1:80', 'failure_domain': 'a'}
+        pools = {n: {'name': n, 'servers': {'e': server}} for n in 'pq'}
+        with self.assertRaisesRegex(errors.InvalidTables, 'one pool'):
+            tables.from_data({'pools': pools})
+
+    def test_apply_leaves_its_input_alone(self):
+        before = make_tables()
+        copy = orjson.dumps(before.to_data())
+        edit = tables.Edit('pools', 'q', {'name': 'q'}, 0)
+        tables.apply(before, [edit], 'c', 'ops')
+        self.assertEqual(copy, orjson.dumps(before.to_data()))
+
+    def test_same_change_id_is_applied_once(self):
+        edit = tables.Edit('pools', 'q', {'name': 'q'}, 0)
+        once = tables.apply(make_tables(), [edit], 'c', 'ops')
+        self.assertIs(once, tables.apply(once, [edit], 'c', 'ops'))
+
+    def test_conflict_names_the_other_change(self):
+        edit = tables.Edit('pools', 'q', {'name': 'q'}, 0)
+        once = tables.apply(make_tables(), [edit], 'c1', 'amira')
+        with self.assertRaisesRegex(errors.Conflict, 'amira.*c1'):
+            tables.apply(once, [edit], 'c2', 'ops')
+
+    def test_delta_gives_the_same_tables(self):
+        old = make_tables()
+        edits = [
+            tables.Edit('pools', 'q', {'name': 'q'}, 0),
+            tables.Edit('routes', 'r', None, 0),
+        ]
+        new = tables.apply(old, edits, 'c', 'ops')
+        got = tables.apply_delta(old, tables.make_delta(old, new))
+        self.assertEqual(new.routes, got.routes)
+        self.assertEqual(new.pools, got.pools)
+        self.assertEqual(new.row_revisions, got.row_revisions)
+
+    def test_delta_of_another_base_is_refused(self):
+        old = make_tables()
+        edit = tables.Edit('pools', 'q', {'name': 'q'}, 0)
+        new = tables.apply(old, [edit], 'c', 'ops')
+        delta = tables.make_delta(old, new)
+        with self.assertRaises(errors.Conflict):
+            tables.apply_delta(new, delta)
+
+    def test_value_over_the_platforms_limit(self):
+        accounts = {f'a{i}': {'key_sha256': f'{i:064x}'} for i in range(10_500)}
+        row = {'name': 'r', 'pool': 'p', 'accounts': accounts}
+        edit = tables.Edit('routes', 'r', row, 0)
+        with self.assertRaisesRegex(errors.InvalidTables, '1000000'):
+            tables.apply(make_tables(), [edit], 'c', 'ops')
+
+
+class TestIdentify(unittest.TestCase):
+    def ask(self, route='r', key=KEY):
+        headers = {'authorization': f'Bearer {key}'} if key else {}
+        return identify.identify(make_tables(), route, headers)
+
+    def test_known_key(self):
+        self.assertEqual('acme', self.ask().account)
+
+    def test_no_key_and_unknown_key(self):
+        for key in ('', 'unknown'):
+            with self.assertRaises(errors.Unauthenticated) as caught:
+                self.ask(key=key)
+            self.assertNotIn(KEY, caught.exception.message)
+
+    def test_unknown_route(self):
+        with self.assertRaises(errors.NoRoute):
+            self.ask(route='x')
+
+
+class TestSettings(unittest.TestCase):
+    GOOD = {
+        'vm': 'v',
+        'failure_domain': 'a',
+        'platform_address': '127.0.0.1:1',
+        'peer_key': 'k' * 16,
+    }
+
+    def test_all_faults_together_and_no_secret_shown(self):
+        values = {'peer_key': 'secret', 'lease_s': 0.0, 'vm': ''}
+        with self.assertRaises(errors.SettingsError) as caught:
+            settings.load({}, values)
+        message = caught.exception.message
+        for words in ('--vm', '--peer_key', '--lease_s', '--platform'):
+            self.assertIn(words, message)
+        self.assertNotIn('secret', message)
+
+    def test_flag_wins_over_environment(self):
+        environ = {'MANGOROCK_VM': 'env', 'MANGOROCK_REGION': 'oman'}
+        found = settings.load(environ, self.GOOD)
+        self.assertEqual(('v', 'oman'), (found.vm, found.region))
+
+    def test_open_administration_is_refused(self):
+        values = {**self.GOOD, 'admin_address': '10.0.0.1:1'}
+        with self.assertRaisesRegex(errors.SettingsError, 'operator_token'):
+            settings.load({}, values)
+
+
+class TestAccept(unittest.TestCase):
+    def accept(self, body=b'{}', path='/v1/completions', **headers):
+        headers = {k.replace('_', '-'): v for k, v in headers.items()}
+        return calls.accept(http.Request('POST', path, headers, body))
+
+    def test_bad_input_is_a_typed_error(self):
+        bad = [
+            b'',
+            b'[]',
+            b'{"model": 1, "prompt": "x"}',
+            b'{"model": "m"}',
+            b'{"model": "m", "prompt": "x", "max_tokens": -1}',
+            b'{"model": "m", "prompt": "x", "mangorock": {"generated": 1}}',
+        ]
+        for body in bad:
+            with self.assertRaises(errors.BadRequest, msg=body):
+                self.accept(body)
+
+    def test_bad_headers(self):
+        body = b'{"model": "m", "prompt": "x"}'
+        for name, value in (
+            ('x_deadline_ms', '-4'),
+            ('x_deadline_ms', '99999999999'),
+            ('x_request_id', 'x' * 200),
+        ):
+            with self.assertRaises(errors.BadRequest):
+                self.accept(body, **{name: value})
+
+    def test_unknown_path(self):
+        with self.assertRaises(errors.NotFound):
+            self.accept(path='/v2')
+
+
+class TestRelay(unittest.TestCase):
+    def event(self, index, rid='r', **more):
+        data = {
+            'id': rid,
+            'n': index,
+            'choices': [{'delta': {'content': 'x'}, 'finish_reason': 's'}],
+            **more,
+        }
+        return b'data: ' + orjson.dumps(data) + b'\n\n'
+
+    def test_any_split_gives_the_same_answer(self):
+        usage = {'completion_tokens': 2}
+        whole = self.event(0) + self.event(1)
+        whole += self.event(2, usage=usage) + b'data: [DONE]\n\n'
+        for cut in range(1, len(whole)):
+            check = relay.StreamCheck('r')
+            got = check.feed(whole[:cut]) + check.feed(whole[cut:])
+            self.assertEqual(whole, got)
+            self.assertTrue(check.is_whole)
+
+    def test_faults(self):
+        final = self.event(1, usage={'completion_tokens': 1})
+        for data in (
+            self.event(1),
+            self.event(0, 'other'),
+            final,
+            b'data: [DONE]\n\n',
+            b'data: {"id"}\n\n',
+            b'data: []\n\n',
+        ):
+            with self.assertRaises(relay.StreamFault, msg=data):
+                relay.StreamCheck('r').feed(data)
+
+    def test_repeated_token_after_a_resume_is_dropped(self):
+        check = relay.StreamCheck('r', 1)
+        self.assertEqual(b'', check.feed(self.event(0)))
+        self.assertEqual(self.event(1), check.feed(self.event(1)))
+
+
+class TestLimits(unittest.TestCase):
+    def admit(self, limiter, account='acme', total_s=1.0, wait_s=0.0):
+        found = make_tables()
+        identity = identify.Identity(found.routes['r'], account, 1)
+        estimate = router.Estimate(total_s, wait_s)
+        limiter.admit(identity, found.pools['p'], estimate, 2.0, 0.5)
+        return identity
+
+    def test_what_cannot_be_in_time_is_refused_as_not_run(self):
+        with self.assertRaises(errors.DeadlineExceeded) as caught:
+            self.admit(limits.Limiter(), total_s=3.0)
+        self.assertEqual(errors.Run.NOT_RUN, caught.exception.run)
+        self.assertGreater(caught.exception.retry_after_s, 0)
+
+    def test_greedy_account_goes_first_when_the_pool_is_busy(self):
+        limiter = limits.Limiter()
+        for _ in range(10):
+            self.admit(limiter, 'greedy')
+        self.admit(limiter, 'modest', wait_s=1.0)
+        with self.assertRaises(errors.AccountLimit):
+            self.admit(limiter, 'greedy', wait_s=1.0)
+        self.admit(limiter, 'greedy', wait_s=0.0)
+
+    def test_retries_stay_within_their_share(self):
+        budget = limits.RetryBudget()
+        spent = 0
+        for _ in range(1000):
+            budget.earn()
+            spent += budget.spend()
+        self.assertLessEqual(spent, 1000 * 0.1 + limits.RETRY_BURST)
+
+
+class TestRouter(unittest.TestCase):
+    def make(self):
+        chosen = router.Router('a', random.Random(1))
+        chosen.take_tables(make_tables())
+        return chosen
+
+    def test_draining_and_leaving_servers_get_nothing(self):
+        chosen = self.make()
+        views = list(chosen.views.values())
+        chosen.drain(views[0].address, (5, 1))
+        views[1].is_leaving = True
+        views[2].is_draining = True
+        demand = router.Demand('r', 10, 10)
+        for policy in rows.ROUTING_POLICIES:
+            choice = chosen.choose('p', policy, demand, 0.0)
+            self.assertIs(views[3], choice.view)
+
+    def test_late_drain_after_its_undrain_has_no_effect(self):
+        chosen = self.make()
+        self.assertEqual(0, chosen.drain('10.0.0.1:80', (5, 1)))
+        self.assertTrue(chosen.undrain('10.0.0.1:80', (5, 1)))
+        self.assertIsNone(chosen.drain('10.0.0.1:80', (5, 1)))
+        self.assertEqual({}, chosen.drained)
+        self.assertEqual(0, chosen.drain('10.0.0.1:80', (5, 2)))
+        self.assertFalse(chosen.undrain('10.0.0.1:80', (5, 1)))
+
+    def test_gap_in_cache_events_drops_trust(self):
+        chosen = self.make()
+        key = ('p', 'e1')
+        report = engine.Report('mixed', False, False, 0, 0, 0, 2, 0, 0, ('k',))
+        chosen.take_report(key, report, 1.0)
+        self.assertIn('k', chosen.views[key].pieces)
+        gap = engine.Report('mixed', False, False, 0, 0, 0, 9, has_gap=True)
+        chosen.take_report(key, gap, 2.0)
+        self.assertEqual(0, len(chosen.views[key].pieces))
+
+    def test_no_herd_on_one_stale_report(self):
+        picked = set()
+        for seed in range(20):
+            chosen = router.Router('a', random.Random(seed))
+            chosen.take_tables(make_tables())
+            demand = router.Demand('r', 100, 10)
+            choice = chosen.choose('p', 'finish_time', demand, 0.0)
+            picked.add(choice.view.name)
+        self.assertGreater(len(picked), 2)
+
+
+class TestPlanner(unittest.TestCase):
+    def run_plan(self, price_s, prefill_tps, decode_tps, seconds=120):
+        plan = planner.Planner(price_s)
+        roles = ['mixed'] * 3
+        done = [[0, 0] for _ in roles]
+        changes = []
+        for now in range(0, seconds, 2):
+            for i in range(3):
+                done[i][0] += int(prefill_tps * 2 / 3)
+                done[i][1] += int(decode_tps * 2 / 3)
+            loads = [
+                planner.Load(
+                    f'10.0.0.{i}:1', roles[i], 10_000.0, 0.02, *done[i], 0
+                )
+                for i in range(3)
+            ]
+            change = plan.decide(loads, float(now))
+            if change is not None:
+                roles[int(change[0][7])] = change[1]
+                changes.append(change)
+        return roles, changes
+
+    def test_no_change_while_the_mix_is_light_and_steady(self):
+        self.assertEqual([], self.run_plan(10.0, 1000, 500)[1])
+
+    def test_heavy_prefill_splits_the_pool(self):
+        roles, changes = self.run_plan(1.0, 18_000, 500)
+        self.assertIn('prefill', roles)
+        self.assertIn('decode', roles)
+        self.assertLessEqual(len(changes), 3)
+
+    def test_a_high_price_forbids_it(self):
+        self.assertEqual([], self.run_plan(60.0, 18_000, 500)[1])
+
+    def test_one_able_engine_is_always_left(self):
+        loads = [planner.Load('a', 'mixed', 1e4, 0.02, 0, 0, 0)]
+        plan = planner.Planner()
+        plan.target = {'a': 'prefill'}
+        plan.planned_at_s = 0.0
+        self.assertIsNone(plan.decide(loads, 1.0))
+
+
+class TestClaims(unittest.TestCase):
+    def test_full_slots_roll_over_and_are_read_back(self):
+        store, version = {}, 0
+        for part in range(3):
+            shard = claims.Shard()
+            for i in range(100):
+                key = claims.key_of('a', 'r', f'{part}-{i}')
+                entry = claims.Entry(key, key, claims.Kind.CLAIMED, 1.0)
+                pending = shard.handle(claims.Submit(i, entry), 1.0)
+                while pending:
+                    action = pending.pop(0)
+                    if isinstance(action, claims.Load):
+                        event = claims.Loaded(dict(store))
+                    elif isinstance(action, claims.Write):
+                        version += 1
+                        store[action.slot] = (action.text, version)
+                        event = claims.Written(version)
+                    else:
+                        self.assertIs(claims.Outcome.ACCEPTED, action.outcome)
+                        continue
+                    pending += shard.handle(event, 1.0)
+        self.assertEqual(300, len(shard.index))
+        self.assertEqual(5, len(store))
+
+
+class TestSmallParts(unittest.TestCase):
+    def test_log_line_quotes_what_needs_it(self):
+        line = logs.render('e', {'a': 'x y', 'b': 1, 'c': 'q"\n'})
+        self.assertEqual('event=e a="x y" b=1 c="q\\"\\n"', line)
+
+    def test_every_reason_has_a_counter(self):
+        counts = metrics.make_metrics('').counts
+        for reason in errors.Reason:
+            self.assertEqual(0, counts[f'refused.{reason.value}'])
+        for retry in metrics.Retry:
+            self.assertEqual(0, counts[f'retried.{retry.value}'])
+
+    def test_ctl_edits_only_what_differs(self):
+        current = make_tables().to_data()
+        wanted = make_tables(priority=1).to_data()
+        edits = ctl.make_edits(current, wanted)
+        self.assertEqual(['r'], [e['name'] for e in edits])
+
+
+if __name__ == '__main__':
+    unittest.main()
