--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -126,7 +126,9 @@
             tables.apply_delta(new, delta)
 
     def test_value_over_the_platforms_limit(self):
-        accounts = {f'a{i}': {'key_sha256': f'{i:064x}'} for i in range(10_500)}
+        accounts = {
+            f'a{i}': {'key_sha256': f'{i:064x}'} for i in range(10_500)
+        }
         row = {'name': 'r', 'pool': 'p', 'accounts': accounts}
         edit = tables.Edit('routes', 'r', row, 0)
         with self.assertRaisesRegex(errors.InvalidTables, '1000000'):
