--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,157 @@
+"""Fakes at the interfaces of the fuzzing, with the oracle in them.
+
+The oracle sees only what engines, services, callers and operators see.
+"""
+
+import heapq
+
+import attrs
+
+from mangorock import engine
+from mangorock import owner
+from mangorock_standins import engine as engine_standin
+
+
+TICK_S = 1.0
+DELAY_S = 0.01
+CALL_TIMEOUT_S = 2.0
+ORDER_TIMEOUT_S = 5.0
+LIST_LAG_S = 6.0
+CHANGE_S = 3.0
+LEASE_S = 6.0
+TOKENS = 6
+TOKEN_EVERY_S = 0.3
+NO_ANSWER = object()
+
+
+class Violation(AssertionError):
+    """The oracle saw a promise broken."""
+
+
+class Clock:
+    """Simulated time and what is due."""
+
+    def __init__(self):
+        self.now = 1000.0
+        self.heap = []
+        self.count = 0
+
+    def after(self, delay_s, node, function):
+        """Run ``function`` later; for a node only while it runs."""
+        self.count += 1
+        due = (self.now + delay_s, self.count, node, function)
+        heapq.heappush(self.heap, due)
+
+    def advance(self, seconds):
+        """Let time pass."""
+        end = self.now + seconds
+        while self.heap and self.heap[0][0] <= end:
+            at, _, node, function = heapq.heappop(self.heap)
+            self.now = max(self.now, at)
+            if node is None:
+                function()
+            elif node.is_paused:
+                node.backlog.append(function)
+            elif node.is_alive:
+                function()
+        self.now = end
+
+
+@attrs.define
+class FakeEngine:
+    """An engine that cuts what it runs when it changes its role."""
+
+    world: object
+    address: str
+    checks: bool
+    role: str = 'mixed'
+    is_changing: bool = False
+    order_id: str = ''
+    token: int = 0
+    acted: int = 0
+    running: dict = attrs.field(factory=dict)
+    crashes_in_change: bool = False
+    changes: int = 0
+
+    def state(self):
+        """Return the true state."""
+        count = len(self.running)
+        return engine.State(
+            self.role, self.is_changing, count, self.order_id, self.token
+        )
+
+    def is_old(self, order):
+        """Say whether the order's token is an old one."""
+        return order.token < self.token
+
+    def take_order(self, order):
+        """Take an order; raise `Violation` on what must never come."""
+        if self.checks and self.is_old(order):
+            return owner.Outcome.REFUSED
+        if order.token < self.acted:
+            raise Violation(f'order of a lapsed owner took effect: {order}')
+        if order.kind == 'fence':
+            if self.is_changing:
+                return owner.Outcome.REFUSED
+            self.token = self.acted = order.token
+            return owner.Outcome.TAKEN
+        if self.is_changing:
+            raise Violation(f'conflicting orders: {order}')
+        for attempt in self.running.values():
+            if attempt.is_live():
+                raise Violation(f'request cut by a planned change: {order}')
+        self.token = self.acted = order.token
+        self.order_id = order.order_id
+        self.is_changing = True
+        self.world.clock.after(CHANGE_S, None, lambda: self._end(order))
+        return owner.Outcome.TAKEN
+
+    def _end(self, order):
+        self.is_changing = False
+        self.changes += 1
+        if self.crashes_in_change:
+            self.crashes_in_change = False
+            return
+        self.role = order.value
+
+    def take_request(self, attempt):
+        """Start a request, or refuse it before any work."""
+        if self.is_changing or self.role != 'mixed':
+            return False
+        self.running[attempt.call_id] = attempt
+        self._step(attempt, attempt.check.next_index)
+        return True
+
+    def _step(self, attempt, index):
+        """Send the token at ``index`` and then the next."""
+        if not attempt.is_live():
+            self.running.pop(attempt.call_id, None)
+            return
+        data = event_bytes(attempt.call_id, index)
+        if index < TOKENS:
+            attempt.deliver(data)
+            self.world.clock.after(
+                TOKEN_EVERY_S, None, lambda: self._step(attempt, index + 1)
+            )
+            return
+        self.running.pop(attempt.call_id, None)
+        attempt.deliver(data)
+
+    def crash(self):
+        """Lose everything that runs."""
+        for attempt in list(self.running.values()):
+            attempt.break_off()
+        self.running.clear()
+
+
+def event_bytes(call_id, index):
+    """Return the stream's event for a token, or the final ones."""
+    if index < TOKENS:
+        word = engine_standin.token_text(call_id, index)
+        return (
+            f'data: {{"id":"{call_id}","n":{index},"choices":[{{"delta":'
+            f'{{"content":"{word}"}},"finish_reason":null}}]}}\n\n'
+        ).encode()
+    job = engine.Job(call_id, '', TOKENS)
+    stream = engine_standin.Stream(job, 1, 1, index, index)
+    return engine_standin.final_event(stream).encode()
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -16,8 +16,10 @@
 from mangorock import relay
 from mangorock import routers
 from mangorock import tables
+from tests import fakes
+from tests import node
 from tests import test_fuzz
-from tests import world
+
 
 BUDGET = hypothesis.settings(test_fuzz.SETTINGS, max_examples=400)
 
@@ -89,7 +91,7 @@
         self.assert_found(
             test_fuzz.CheckingChanges,
             'lapsed owner|conflicting orders|cut by a planned change',
-            mock.patch.object(world.FakeEngine, 'is_old', lambda s, o: False),
+            mock.patch.object(fakes.FakeEngine, 'is_old', lambda s, o: False),
         )
 
     def test_order_before_the_last_has_settled(self):
@@ -152,7 +154,7 @@
         self.assert_found(
             test_fuzz.PlainCluster,
             'cut by a planned stop',
-            mock.patch.object(world.Node, 'is_busy', lambda self: False),
+            mock.patch.object(node.Node, 'is_busy', lambda self: False),
         )
 
 
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,79 @@
+"""Ways a request takes: split over two engines, or to another domain."""
+
+from mangorock_standins import fleet
+from tests import test_failures
+from tests import test_path
+
+
+def log_of(desk, name):
+    """Return the counts of one engine."""
+    address = desk.servers[name].address
+    return fleet.http_json('GET', address, '/control/log')[1]['counts']
+
+
+class TestSplit(test_path.DeskCase):
+    def test_prefill_and_decode_on_two_engines(self):
+        desk = self.desk
+        done = desk.ctl(
+            'set',
+            'pools',
+            'language',
+            'planning=static',
+            'servers.e1.role=prefill',
+            'servers.e4.role=decode',
+        )
+        self.assertEqual(0, done.returncode, done.stderr)
+        desk.wait_status(
+            desk.daemons['entry-1'],
+            lambda s: (
+                {'prefill', 'decode'} <= {v['role'] for v in s['servers']}
+                and not any(v['is_draining'] for v in s['servers'])
+            ),
+        )
+        before = log_of(desk, 'e1').get('prefill_tokens', 0)
+        status, answer = test_path.complete(desk, 'entry-1', 9)
+        self.assertEqual(200, status, answer)
+        self.assertEqual(9, answer['usage']['completion_tokens'])
+        self.assertGreater(log_of(desk, 'e1')['prefill_tokens'], before)
+        self.assertEqual(0, log_of(desk, 'e1').get('tokens', 0))
+        self.assertEqual(9, log_of(desk, 'e4').get('tokens', 0))
+
+
+class TestOtherDomain(test_path.DeskCase):
+    def test_domain_without_engines_passes_requests_on(self):
+        desk = self.desk
+        done = desk.ctl(
+            'set',
+            'pools',
+            'language',
+            'servers.e1.is_draining=true',
+            'servers.e4.is_draining=true',
+            'servers.e2.is_draining=false',
+            '--wait',
+        )
+        self.assertEqual(0, done.returncode, done.stderr)
+        status, answer = test_path.complete(desk, 'entry-1', 7)
+        self.assertEqual(200, status, answer)
+        response = test_failures.open_stream(desk, 'entry-4', 30)
+        response.read(100)
+        for name in ('e2', 'e3', 'e5', 'e6'):
+            desk.faults(desk.servers[name], cut_streams=1)
+        indexes, is_whole = test_failures.read_stream(response)
+        for name in ('e2', 'e3', 'e5', 'e6'):
+            desk.faults(desk.servers[name], cut_streams=0)
+        self.assertTrue(is_whole)
+        self.assertEqual(30, indexes[-1])
+
+    def test_order_is_passed_on_and_lands_once(self):
+        desk = self.desk
+        done = desk.ctl(
+            'set', 'pools', 'desk', 'servers.s1.is_draining=true', '--wait'
+        )
+        self.assertEqual(0, done.returncode, done.stderr)
+        before = len(desk.effects())
+        answers = [
+            test_path.order(desk, vm, 'passed-on')
+            for vm in ('entry-1', 'entry-4', 'entry-2')
+        ]
+        self.assertEqual({201}, {status for status, _ in answers})
+        self.assertEqual(before + 1, len(desk.effects()))
