--- a/src/mangorock/calls.py
+++ b/src/mangorock/calls.py
@@ -63,26 +63,28 @@
     deadline_ms: int
 
 
-def accept(request):
+def accept(request, is_from_peer=False):
     """Return the call in an HTTP request.
 
-    Raises `errors.NotFound` for another path and `errors.BadRequest` for
-    input that cannot be understood.
+    Only another daemon (``is_from_peer``) may say under which id the
+    request is known to engines and services.  Raises `errors.NotFound` for
+    another path and `errors.BadRequest` for input that cannot be
+    understood.
     """
     path = request.path.partition('?')[0]
     if path in COMPLETION_PATHS:
         if request.method != 'POST':
             raise errors.BadRequest(f'{path} takes POST; use it')
-        return _accept_completion(request, path)
+        return _accept_completion(request, path, is_from_peer)
     if path.startswith(SERVICE_PREFIX):
-        return _accept_service(request)
+        return _accept_service(request, is_from_peer)
     raise errors.NotFound(
         f'no path {path!r}; use {", ".join(COMPLETION_PATHS)} or '
         f'{SERVICE_PREFIX}ROUTE/...'
     )
 
 
-def _accept_completion(request, path):
+def _accept_completion(request, path, is_from_peer):
     data = request.json()
     if not isinstance(data, dict):
         raise errors.BadRequest('the body is no JSON object; send one')
@@ -99,7 +101,7 @@
     if not isinstance(route, str):
         raise errors.BadRequest('"model" is missing; name a route')
     return Completion(
-        _internal_id(request),
+        _internal_id(request, is_from_peer),
         _request_id(request),
         route,
         prompt,
@@ -140,7 +142,7 @@
     return ''.join(parts)
 
 
-def _accept_service(request):
+def _accept_service(request, is_from_peer):
     rest = request.path[len(SERVICE_PREFIX) :]
     route, slash, tail = rest.partition('/')
     key = request.headers.get(KEY_HEADER, '')
@@ -149,7 +151,7 @@
             f'Idempotency-Key is over {MAX_ID_CHARS} characters; shorten it'
         )
     return ServiceCall(
-        _internal_id(request),
+        _internal_id(request, is_from_peer),
         _request_id(request),
         urllib.parse.unquote(route),
         request.method,
@@ -161,13 +163,14 @@
     )
 
 
-def _internal_id(request):
+def _internal_id(request, is_from_peer):
     """Return the id that engines and services see.
 
     It is new for each call, so that callers who reuse an id cannot cross
     each other's answers.
     """
-    return request.headers.get(PEER_REQUEST_HEADER) or uuid.uuid4().hex
+    given = request.headers.get(PEER_REQUEST_HEADER)
+    return given if given and is_from_peer else uuid.uuid4().hex
 
 
 def _request_id(request):
--- a/src/mangorock/claimer.py
+++ b/src/mangorock/claimer.py
@@ -105,12 +105,22 @@
             async with curio.timeout_after(CLAIM_TIMEOUT_S):
                 return await ticket.get()
         except curio.errors.TaskTimeout:
+            if entry.kind is claims.Kind.CLAIMED:
+                await curio.spawn(
+                    self._release_late, ticket, entry, daemon=True
+                )
             raise errors.ClaimUnavailable(
                 'the idempotency key could not be recorded in time; retry '
                 'with the same key later',
                 retry_after_s=5,
             )
 
+    async def _release_late(self, ticket, entry):
+        """Give a key back whose claim landed after it was refused."""
+        reply = await ticket.get()
+        if reply.outcome is claims.Outcome.ACCEPTED:
+            await self.release(Claim(entry.key, entry.claim_id))
+
     async def _own_shard(self, number, queue):
         shard = claims.Shard()
         while True:
@@ -127,7 +137,8 @@
             action = pending.pop(0)
             match action:
                 case claims.Reply():
-                    await action.ticket.put(action)
+                    if action.ticket is not None:
+                        await action.ticket.put(action)
                     continue
                 case claims.Load():
                     event = await self._load(number, action.first)
--- a/src/mangorock/claims.py
+++ b/src/mangorock/claims.py
@@ -188,6 +188,8 @@
     waiting: list = attrs.field(factory=list)
     batch: list = attrs.field(factory=list)
     was_lost: bool = False
+    # Claims that were refused while their write's outcome was unknown.
+    abandoned: dict = attrs.field(factory=dict)
 
     def handle(self, event, now_s):
         """Take an event, return the actions in order."""
@@ -198,7 +200,9 @@
             case Loaded():
                 self._take_slots(event.slots)
                 self.is_busy = False
-                return self._settle() + self._advance(now_s)
+                replies = self._settle()
+                self._release_abandoned()
+                return replies + self._advance(now_s)
             case Written():
                 return self._accept(event.version) + self._advance(now_s)
             case Refused() | Lost():
@@ -218,10 +222,12 @@
 
     def _give_up(self):
         self.is_busy = False
-        replies = [
-            Reply(s.ticket, Outcome.UNAVAILABLE)
-            for s in self.batch + self.waiting
-        ]
+        given_up = self.batch + self.waiting
+        replies = [Reply(s.ticket, Outcome.UNAVAILABLE) for s in given_up]
+        if self.was_lost:
+            for submit in given_up:
+                if submit.entry.kind is Kind.CLAIMED:
+                    self.abandoned[submit.entry.claim_id] = submit.entry
         self.batch, self.waiting = [], []
         self.is_loaded = False
         return replies
@@ -257,6 +263,16 @@
             newest = self.newest_s.get(slot, 0.0)
             self.newest_s[slot] = max(newest, entry.at_s)
 
+    def _release_abandoned(self):
+        """Give back keys whose claim landed after it was refused."""
+        for claim_id, entry in list(self.abandoned.items()):
+            standing = self.index.get(entry.key)
+            if standing is None or standing.claim_id != claim_id:
+                continue
+            del self.abandoned[claim_id]
+            released = attrs.evolve(entry, kind=Kind.RELEASED)
+            self.waiting.insert(0, Submit(None, released))
+
     def _settle(self):
         """Answer waiting submissions that a lost write did apply."""
         if not self.was_lost:
--- a/src/mangorock/completions.py
+++ b/src/mangorock/completions.py
@@ -1,9 +1,7 @@
 """Route, dispatch and relay of a completion.
 
-One task owns the caller's and the engine's socket of a stream.  Tokens
-that arrive together leave in one write, and each was checked to be the
-next of this request's own answer.  A stream that breaks is resumed at the
-next token on another engine.
+A stream that breaks is resumed at the next token on another engine;
+``streams`` relays one of them.
 """
 
 import time
@@ -22,27 +20,10 @@
 from mangorock import logs
 from mangorock import relay
 from mangorock import router
+from mangorock import streams
 
-# A stream that has begun and then is silent for this long is broken.
-STALL_S = 3.0
 FIRST_TOKEN_SLACK_S = 5.0
 DEFAULT_ACCOUNTED_TOKENS = 256
-STREAM_HEADERS = (
-    ('content-type', 'text/event-stream'),
-    ('transfer-encoding', 'chunked'),
-)
-
-
-class CallerGone(Exception):
-    """The caller closed its connection before the answer was whole."""
-
-
-@attrs.define
-class Watched:
-    """What the sweeper of silent streams looks at."""
-
-    exchange: object
-    silent_after_s: float
 
 
 @attrs.define
@@ -186,12 +167,12 @@
             job.to_body(),
         )
         silent_s = choice.expected_s * 3 + FIRST_TOKEN_SLACK_S
-        await stream_from(work, target, silent_s)
+        await streams.stream_from(work, target, silent_s)
         learn_first_token(work, choice, sent_s, first)
         count = work.check.next_index - max(first, 1)
         if count > 0 and first == 0:
             step_s = (work.last_token_s - work.first_token_s) / count
-    except AttemptEnded as exc:
+    except streams.AttemptEnded as exc:
         end_attempt(work, exc)
     finally:
         env.router.finished(choice, work.demand, step_s)
@@ -212,15 +193,6 @@
             work.env.router.failed(view, time.monotonic())
 
 
-class AttemptEnded(Exception):
-    """An attempt ended without a whole answer."""
-
-    def __init__(self, address, end):
-        super().__init__(address, end)
-        self.address = address
-        self.end = end
-
-
 async def prefill(work, choice):
     """Run the prompt on the choice's prefill engine, if it has one."""
     if choice.prefill is None:
@@ -231,9 +203,9 @@
             work.env.client, address, make_job(work, None)
         )
     except errors.BackendRefused:
-        raise AttemptEnded(address, attempts.End.REFUSED)
+        raise streams.AttemptEnded(address, attempts.End.REFUSED)
     except (OSError, h11.ProtocolError):
-        raise AttemptEnded(address, attempts.End.UNREACHABLE)
+        raise streams.AttemptEnded(address, attempts.End.UNREACHABLE)
 
 
 def make_job(work, kv):
@@ -269,6 +241,7 @@
             f'no backend server of pool {work.pool.name!r} may take the '
             'request now; retry later'
         )
+    env.metrics.add('forwarded')
     left_s = work.deadline_s - time.monotonic()
     target = forward.Target(
         member.caller_address,
@@ -278,8 +251,8 @@
         peer_body(work),
     )
     try:
-        await stream_from(work, target, left_s)
-    except AttemptEnded as exc:
+        await streams.stream_from(work, target, left_s)
+    except streams.AttemptEnded as exc:
         end_attempt(work, exc)
 
 
@@ -300,84 +273,6 @@
     )
 
 
-async def stream_from(work, target, silent_s):
-    """Relay one stream until the answer is whole.
-
-    Raises `AttemptEnded` when it is refused or breaks, and `CallerGone`.
-    """
-    env, check = work.env, work.check
-    check.restart()
-    try:
-        exchange = await env.client.open(target.address, True)
-    except OSError:
-        raise AttemptEnded(target.address, attempts.End.UNREACHABLE)
-    watched = Watched(exchange, time.monotonic() + silent_s)
-    env.streams[id(watched)] = watched
-    try:
-        await exchange.send(
-            target.method, target.path, target.headers, target.body
-        )
-        if exchange.status != 200:
-            raise AttemptEnded(target.address, attempts.End.REFUSED)
-        while not check.is_whole:
-            data = await exchange.read_some()
-            if not data:
-                raise relay.StreamFault('the stream ended early')
-            await relay_checked(work, check.feed(data), watched)
-    except (OSError, h11.ProtocolError, relay.StreamFault) as exc:
-        if work.responder.is_broken:
-            await cancel(work, target)
-            raise CallerGone()
-        log_broken(work, target, exc)
-        raise AttemptEnded(target.address, attempts.End.BROKEN)
-    finally:
-        del env.streams[id(watched)]
-        await exchange.sock.close()
-
-
-def log_broken(work, target, exc):
-    """Log a stream that broke."""
-    logs.warning(
-        'stream_broken',
-        request=work.call.internal_id,
-        server=target.address,
-        at_token=work.check.next_index,
-        error=repr(exc),
-    )
-
-
-async def relay_checked(work, data, watched):
-    """Write checked events to the caller, if it asked for a stream."""
-    if not data:
-        return
-    now = time.monotonic()
-    watched.silent_after_s = now + STALL_S
-    work.last_token_s = now
-    if not work.first_token_s:
-        work.first_token_s = now
-    if not work.call.is_stream:
-        return
-    if not work.responder.is_started:
-        await work.responder.start(
-            200,
-            [
-                *STREAM_HEADERS,
-                (calls.REQUEST_ID_HEADER, work.call.request_id),
-            ],
-        )
-    await work.responder.send(data)
-
-
-async def cancel(work, target):
-    """Tell the server that nobody wants the answer any more."""
-    try:
-        await engine.cancel(
-            work.env.client, target.address, work.call.internal_id
-        )
-    except (OSError, h11.ProtocolError):
-        return
-
-
 async def answer_whole(work):
     """End the stream, or send the whole answer at once."""
     if work.call.is_stream:
@@ -410,17 +305,10 @@
         'or ask for fewer tokens',
         run=run_state,
     )
-    await fail_stream(work, error)
+    await streams.fail_stream(work, error)
     raise error
 
 
-async def fail_stream(work, error):
-    """Tell the caller of a begun stream that it will not be whole."""
-    if work.responder.is_started and not work.responder.is_broken:
-        data = b'data: ' + orjson.dumps(errors.describe(error)) + b'\n\n'
-        await work.responder.send(data)
-
-
 def account(work):
     """Count the tokens served and the times that callers feel."""
     metrics = work.env.metrics
@@ -433,13 +321,3 @@
     pool = work.pool.name
     metrics.add(f'demand.{pool}.prompt', work.demand.prompt_tokens)
     metrics.add(f'demand.{pool}.output', work.check.next_index)
-
-
-async def sweep_silent(env):
-    """Break streams that have been silent for too long, for ever."""
-    while True:
-        await curio.sleep(0.25)
-        now = time.monotonic()
-        for watched in list(env.streams.values()):
-            if now > watched.silent_after_s:
-                watched.exchange.abort()
--- a/src/mangorock/ctl.py
+++ b/src/mangorock/ctl.py
@@ -28,7 +28,7 @@
 import h11
 import orjson
 
-from mangorock import http
+from mangorock import client
 from mangorock import rows
 from mangorock import tables
 
@@ -82,7 +82,7 @@
     def __init__(self, address, token):
         self.address = address
         self.token = token
-        self.client = http.Client()
+        self.client = client.Client()
 
     async def call(self, method, path, data=None):
         """Return the JSON answer; raise `CtlError` with the remedy."""
--- a/src/mangorock/daemon.py
+++ b/src/mangorock/daemon.py
@@ -18,6 +18,7 @@
 from mangorock import duties
 from mangorock import environment
 from mangorock import errors
+from mangorock import forward
 from mangorock import gossip
 from mangorock import http
 from mangorock import logs
@@ -25,6 +26,7 @@
 from mangorock import services
 from mangorock import settings as settings_module
 from mangorock import signals
+from mangorock import streams
 from mangorock import watcher
 
 EXIT_OK = 0
@@ -39,7 +41,8 @@
     status = 'whole'
     try:
         env.check_ready()
-        call = calls.accept(request)
+        is_from_peer = forward.is_from_peer(env, request.headers)
+        call = calls.accept(request, is_from_peer)
         match call:
             case calls.Completion():
                 await completions.serve(env, call, request, responder)
@@ -49,9 +52,22 @@
         status = exc.reason.value
         env.metrics.refused(exc.reason)
         await refuse(env, responder, exc)
-    except completions.CallerGone:
+    except streams.CallerGone:
         status = 'caller_gone'
         env.metrics.add('caller_gone')
+    except OSError:
+        # The caller's connection broke while its answer was written.
+        status = 'caller_gone'
+        env.metrics.add('caller_gone')
+    except Exception as exc:
+        status = 'internal'
+        logs.warning('request_failed', path=request.path, error=repr(exc))
+        error = errors.Internal(
+            'the daemon failed; look up whether the request took effect '
+            'before repeating it, and report this to the operator'
+        )
+        env.metrics.refused(error.reason)
+        await refuse(env, responder, error)
     finally:
         env.in_flight -= 1
         seconds = time.monotonic() - started_s
@@ -95,7 +111,7 @@
             watcher.watch_tables,
             gossip.probe_forever,
             reports.poll_forever,
-            completions.sweep_silent,
+            streams.sweep_silent,
             duties.hold,
         ):
             await self._spawn(loop, env)
--- a/src/mangorock/duties.py
+++ b/src/mangorock/duties.py
@@ -19,6 +19,7 @@
 from mangorock import logs
 from mangorock import membership
 from mangorock import owner
+from mangorock import ownership
 from mangorock import peer_pb2
 from mangorock import peers
 from mangorock import planner
@@ -66,7 +67,7 @@
     """Give the duty up, within a limit, before the daemon ends."""
     if env.owner is None:
         return
-    env.owner.handle(owner.Release(), time.monotonic())
+    env.owner.handle(ownership.Release(), time.monotonic())
     end_s = time.monotonic() + RELEASE_LIMIT_S
     held = (owner.Phase.OWNING, owner.Phase.TAKING, owner.Phase.RELEASING)
     while env.owner.phase in held and time.monotonic() < end_s:
@@ -96,7 +97,7 @@
     async def _tick(self):
         env, now = self.env, time.monotonic()
         self._update(now)
-        await self._handle(owner.Tick(is_wanted(env)))
+        await self._handle(ownership.Tick(is_wanted(env)))
         for wish in self.planners.wishes(self.owner, now):
             await self._handle(wish)
 
@@ -134,15 +135,15 @@
 
     async def _run(self, action):
         match action:
-            case owner.ReadRecord():
+            case ownership.ReadRecord():
                 event = await self._read_record()
-            case owner.SwapRecord():
+            case ownership.SwapRecord():
                 event = await self._swap_record(action)
-            case owner.AskDrain():
+            case ownership.AskDrain():
                 event = await self._ask_drain(action)
-            case owner.ReadState():
+            case ownership.ReadState():
                 event = await self._read_state(action)
-            case owner.SendOrder():
+            case ownership.SendOrder():
                 event = await self._send_order(action)
         if event is not None:
             await self.events.put(event)
@@ -152,12 +153,12 @@
         try:
             entry = await platform.get(record_key(self.env))
             if not entry.version:
-                return owner.RecordRead(None, 0)
-            record = owner.record_from_text(entry.value)
+                return ownership.RecordRead(None, 0)
+            record = ownership.record_from_text(entry.value)
             alive = await platform.get(lease_key(record))
         except errors.PlatformUnavailable:
-            return owner.RecordUnknown()
-        return owner.RecordRead(record, entry.version, bool(alive.version))
+            return ownership.RecordUnknown()
+        return ownership.RecordRead(record, entry.version, bool(alive.version))
 
     async def _swap_record(self, action):
         try:
@@ -165,10 +166,10 @@
                 record_key(self.env), action.record.to_text(), action.expected
             )
         except (errors.PlatformUnavailable, errors.OutcomeUnknown):
-            return owner.RecordUnknown()
+            return ownership.RecordUnknown()
         if done:
-            return owner.RecordSwapped(version)
-        return owner.RecordRefused()
+            return ownership.RecordSwapped(version)
+        return ownership.RecordRefused()
 
     async def _ask_drain(self, action):
         env, (token, number) = self.env, action.mark
@@ -190,7 +191,7 @@
                 )
             except peers.PeerUnavailable:
                 return None
-        return owner.DrainAnswered(
+        return ownership.DrainAnswered(
             action.engine,
             action.vm,
             action.mark,
@@ -214,18 +215,18 @@
             orjson.JSONDecodeError,
         ):
             state = None
-        return owner.StateRead(action.engine, state, asked_s)
+        return ownership.StateRead(action.engine, state, asked_s)
 
     async def _send_order(self, action):
         order = action.order
         try:
             async with curio.timeout_after(ENGINE_TIMEOUT_S):
                 await engine.send_order(self.env.client, action.engine, order)
-            outcome = owner.Outcome.TAKEN
+            outcome = ownership.Outcome.TAKEN
         except engine.OrderRefused:
-            outcome = owner.Outcome.REFUSED
+            outcome = ownership.Outcome.REFUSED
         except (OSError, h11.ProtocolError, curio.errors.TaskTimeout):
-            outcome = owner.Outcome.UNKNOWN
+            outcome = ownership.Outcome.UNKNOWN
         self.env.metrics.add(f'orders.{outcome.value}')
         logs.event(
             'order',
@@ -235,7 +236,7 @@
             value=order.value,
             outcome=outcome.value,
         )
-        return owner.OrderAnswered(action.engine, outcome)
+        return ownership.OrderAnswered(action.engine, outcome)
 
     async def keep_lease(self):
         """Hold a lease, with a key that shows it is alive, for ever."""
@@ -254,7 +255,7 @@
         platform = self.env.platform
         lease = await platform.grant_lease(self.env.settings.lease_s)
         await platform.swap(f'mangorock/alive/{lease}', '', 0, lease)
-        await self.events.put(owner.LeaseLost(lease))
+        await self.events.put(ownership.LeaseLost(lease))
         return lease
 
 
--- a/src/mangorock/environment.py
+++ b/src/mangorock/environment.py
@@ -7,8 +7,8 @@
 import attrs
 
 from mangorock import claimer
+from mangorock import client
 from mangorock import errors
-from mangorock import http
 from mangorock import limits
 from mangorock import membership
 from mangorock import metrics
@@ -30,7 +30,7 @@
 
     settings: object
     metrics: metrics.Metrics
-    client: http.Client
+    client: client.Client
     platform: platform.Platform
     peers: peers.Peers
     claimer: claimer.Claimer
@@ -83,9 +83,9 @@
 def make_environment(settings, seed=None):
     """Return the `Environment` of a daemon with these settings."""
     rng = random.Random(seed)
-    client = http.Client()
+    http_client = client.Client()
     service = platform.Platform(
-        settings.platform_address, client, settings.platform_token
+        settings.platform_address, http_client, settings.platform_token
     )
     me = membership.Member(
         settings.vm,
@@ -96,7 +96,7 @@
     return Environment(
         settings=settings,
         metrics=metrics.make_metrics(settings.statsd_address),
-        client=client,
+        client=http_client,
         platform=service,
         peers=peers.Peers(settings.peer_address, settings.peer_key),
         claimer=claimer.Claimer(service),
--- a/src/mangorock/errors.py
+++ b/src/mangorock/errors.py
@@ -62,6 +62,12 @@
             self.run = run
 
 
+class Internal(MangorockError):
+    """The daemon itself failed; the request may have run."""
+
+    run = Run.UNKNOWN
+
+
 class SettingsError(MangorockError):
     """One or more settings are unusable; the message lists all of them."""
 
--- a/src/mangorock/metrics.py
+++ b/src/mangorock/metrics.py
@@ -17,7 +17,6 @@
     CONNECT = 'connect'
     REFUSED = 'refused'
     BROKEN_STREAM = 'broken_stream'
-    PEER = 'peer'
 
 
 class Metrics:
--- a/src/mangorock/owner.py
+++ b/src/mangorock/owner.py
@@ -23,9 +23,9 @@
 import enum
 
 import attrs
-import orjson
 
 from mangorock import engine
+from mangorock import ownership
 from mangorock import routers
 
 READ_EVERY_S = 2.0
@@ -60,166 +60,6 @@
     ORDERED = 'ordered'
 
 
-class Outcome(enum.Enum):
-    """How sending an order ended."""
-
-    TAKEN = 'taken'
-    REFUSED = 'refused'
-    UNKNOWN = 'unknown'
-
-
-@attrs.frozen
-class Record:
-    """The ownership record, as the platform keeps it."""
-
-    vm: str
-    instance: str
-    lease: str = ''
-    is_released: bool = False
-
-    def to_text(self):
-        """Return the stored form."""
-        return orjson.dumps(attrs.asdict(self)).decode()
-
-
-def record_from_text(text):
-    """Undo `Record.to_text`."""
-    return Record(**orjson.loads(text))
-
-
-# Events.
-
-
-@attrs.frozen
-class Tick:
-    """Time has passed; ``is_wanted`` says whether to seek the duty."""
-
-    is_wanted: bool = True
-
-
-@attrs.frozen
-class RecordRead:
-    """The record, ``None`` for none, and whether its lease is alive."""
-
-    record: Record | None
-    version: int
-    is_lease_alive: bool = True
-
-
-@attrs.frozen
-class RecordSwapped:
-    """The record was written as ``version``."""
-
-    version: int
-
-
-@attrs.frozen
-class RecordRefused:
-    """Another write came first."""
-
-
-@attrs.frozen
-class RecordUnknown:
-    """The platform did not answer, or its answer was lost."""
-
-
-@attrs.frozen
-class DrainAnswered:
-    """A router's answer; ``in_flight`` is its count on that engine."""
-
-    engine: str
-    vm: str
-    mark: tuple
-    is_accepted: bool
-    in_flight: int
-    is_undrain: bool
-
-
-@attrs.frozen
-class StateRead:
-    """An engine's true state, ``None`` when it did not answer.
-
-    ``asked_s`` is when it was asked: an answer from before a drain or an
-    order says nothing of the time after.
-    """
-
-    engine: str
-    state: engine.State | None
-    asked_s: float
-
-
-@attrs.frozen
-class OrderAnswered:
-    """The outcome of the one order in flight."""
-
-    engine: str
-    outcome: Outcome
-
-
-@attrs.frozen
-class Wish:
-    """The planner wants ``engine`` to have ``role``."""
-
-    engine: str
-    role: str
-
-
-@attrs.frozen
-class LeaseLost:
-    """The daemon's lease lapsed; ``lease`` is its new one."""
-
-    lease: str
-
-
-@attrs.frozen
-class Release:
-    """Give the duty up, gracefully."""
-
-
-# Actions.
-
-
-@attrs.frozen
-class ReadRecord:
-    """Read the record and the holder's lease."""
-
-
-@attrs.frozen
-class SwapRecord:
-    """Write the record if it is at ``expected``."""
-
-    record: Record
-    expected: int
-
-
-@attrs.frozen
-class AskDrain:
-    """Ask a router to stop (or resume) sending to an engine.
-
-    ``mark`` is (token, number of the drain): routers obey the higher one.
-    """
-
-    engine: str
-    vm: str
-    mark: tuple
-    is_undrain: bool = False
-
-
-@attrs.frozen
-class ReadState:
-    """Read an engine's true state."""
-
-    engine: str
-
-
-@attrs.frozen
-class SendOrder:
-    """Send an order, once."""
-
-    engine: str
-    order: engine.Order
-
-
 @attrs.define
 class Owned:
     """What the owner keeps of one engine."""
@@ -262,7 +102,7 @@
     version: int = 0
     owned: dict = attrs.field(factory=dict)
     next_read_s: float = 0.0
-    holder: Record | None = None
+    holder: ownership.Record | None = None
     holder_missing_since_s: float | None = None
     is_listed: bool = False
     role_changes: int = 0
@@ -282,33 +122,33 @@
     def handle(self, event, now):
         """Take an event, return the actions to run."""
         match event:
-            case Tick():
+            case ownership.Tick():
                 return self._tick(event, now)
-            case RecordRead():
+            case ownership.RecordRead():
                 return self._take_record(event, now)
-            case RecordSwapped():
+            case ownership.RecordSwapped():
                 return self._take_swapped(event, now)
-            case RecordRefused():
+            case ownership.RecordRefused():
                 return self._lose()
-            case RecordUnknown():
+            case ownership.RecordUnknown():
                 return self._take_unknown()
-            case Wish():
+            case ownership.Wish():
                 return self._take_wish(event, now)
-            case LeaseLost():
+            case ownership.LeaseLost():
                 self.lease = event.lease
                 return self._lose()
-            case Release():
+            case ownership.Release():
                 self.wants_release = True
                 return []
         owned = self.owned.get(event.engine)
         if self.phase is not Phase.OWNING or owned is None:
             return []
         match event:
-            case DrainAnswered():
+            case ownership.DrainAnswered():
                 return self._take_drain(owned, event)
-            case StateRead():
+            case ownership.StateRead():
                 return self._take_state(owned, event, now)
-            case OrderAnswered():
+            case ownership.OrderAnswered():
                 return self._take_order(owned, event.outcome, now)
         raise TypeError(f'unknown event {event!r}')
 
@@ -328,7 +168,7 @@
                 return []
             self.phase = Phase.READING
             self.next_read_s = now + READ_EVERY_S
-            return [ReadRecord()]
+            return [ownership.ReadRecord()]
         if self.phase is not Phase.OWNING:
             return self._read_back(now)
         actions = []
@@ -337,11 +177,11 @@
             actions += self._tick_engine(owned, now)
         if self.wants_release and self._is_idle():
             self.phase = Phase.RELEASING
-            record = Record(self.vm, self.instance, '', True)
-            return [*actions, SwapRecord(record, self.version)]
+            record = ownership.Record(self.vm, self.instance, '', True)
+            return [*actions, ownership.SwapRecord(record, self.version)]
         if now >= self.next_read_s:
             self.next_read_s = now + READ_EVERY_S
-            actions.append(ReadRecord())
+            actions.append(ownership.ReadRecord())
         return actions
 
     def _read_back(self, now):
@@ -349,7 +189,7 @@
         if not self.needs_read_back or now < self.next_read_s:
             return []
         self.next_read_s = now + READ_EVERY_S
-        return [ReadRecord()]
+        return [ownership.ReadRecord()]
 
     def _take_record(self, event, now):
         self.needs_read_back = False
@@ -369,13 +209,15 @@
         self._watch_holder(event.record)
         if is_mine and event.is_lease_alive:
             # A write whose answer was lost took effect.
-            return self._take_swapped(RecordSwapped(event.version), now)
+            return self._take_swapped(
+                ownership.RecordSwapped(event.version), now
+            )
         if not self._may_take(event, now):
             self.phase = Phase.FREE
             return []
         self.phase = Phase.TAKING
-        record = Record(self.vm, self.instance, self.lease)
-        return [SwapRecord(record, event.version)]
+        record = ownership.Record(self.vm, self.instance, self.lease)
+        return [ownership.SwapRecord(record, event.version)]
 
     def _watch_holder(self, record):
         if self.holder != record:
@@ -423,8 +265,8 @@
 
     def _settle_release(self, event, is_mine):
         if is_mine and not event.record.is_released:
-            record = Record(self.vm, self.instance, '', True)
-            return [SwapRecord(record, event.version)]
+            record = ownership.Record(self.vm, self.instance, '', True)
+            return [ownership.SwapRecord(record, event.version)]
         self.phase = Phase.ENDED
         return []
 
@@ -480,7 +322,7 @@
         if now < owned.next_read_s:
             return []
         owned.next_read_s = now + every_s
-        return [ReadState(owned.name)]
+        return [ownership.ReadState(owned.name)]
 
     def _enter(self, owned, stage, now):
         owned.stage = stage
@@ -510,7 +352,7 @@
     def _tick_draining(self, owned, now):
         if self.routers <= owned.acked:
             self._enter(owned, Stage.QUIET, now)
-            return [ReadState(owned.name)]
+            return [ownership.ReadState(owned.name)]
         if now - owned.since_s > DRAIN_LIMIT_S or self.wants_release:
             self._reopen(owned, now)
             return []
@@ -519,7 +361,7 @@
         owned.next_ask_s = now + ASK_EVERY_S
         mark = (self.token, owned.drains)
         return [
-            AskDrain(owned.name, vm, mark)
+            ownership.AskDrain(owned.name, vm, mark)
             for vm in sorted(self.routers - owned.acked)
         ]
 
@@ -534,7 +376,7 @@
         owned.next_ask_s = now + ASK_EVERY_S
         mark = (self.token, owned.drains)
         return [
-            AskDrain(owned.name, vm, mark, True)
+            ownership.AskDrain(owned.name, vm, mark, True)
             for vm in sorted(owned.to_undrain)
         ]
 
@@ -585,7 +427,7 @@
         owned.stage = stage
         name = f'{self.token}-{owned.name}-{owned.orders}'
         order = engine.Order(name, self.token, kind, value)
-        return SendOrder(owned.name, order)
+        return ownership.SendOrder(owned.name, order)
 
     def _settle_step(self, owned, state, now):
         if state is None or state.is_changing:
@@ -607,15 +449,15 @@
 
     def _take_order(self, owned, outcome, now):
         if owned.stage is Stage.FENCING:
-            if outcome is Outcome.TAKEN:
+            if outcome is ownership.Outcome.TAKEN:
                 owned.needs_fence = False
             self._settle(owned, now, owned.settle_for_s)
             return []
         if owned.stage is not Stage.ORDERED:
             return []
-        if outcome is Outcome.TAKEN:
+        if outcome is ownership.Outcome.TAKEN:
             self.role_changes += 1
-        is_unknown = outcome is Outcome.UNKNOWN
+        is_unknown = outcome is ownership.Outcome.UNKNOWN
         self._settle(owned, now, CONNECTION_LIFE_S if is_unknown else 0.0)
         return []
 
--- a/src/mangorock/services.py
+++ b/src/mangorock/services.py
@@ -216,6 +216,7 @@
             f'no backend server of pool {work.pool.name!r} may take the '
             'call now; retry later'
         )
+    env.metrics.add('forwarded')
     return peer_target(work, member), True
 
 
--- a/src/mangorock_standins/engine.py
+++ b/src/mangorock_standins/engine.py
@@ -18,8 +18,8 @@
 import curio
 import orjson
 
+from mangorock import client
 from mangorock import engine
-from mangorock import http
 from mangorock_standins import shell
 
 PREFILL_CHUNK_TOKENS = 512
@@ -232,7 +232,7 @@
 
     def __init__(self, config):
         self.engine = Engine(config)
-        self.client = http.Client()
+        self.client = client.Client()
 
     async def handle(self, request, responder):
         """Answer one request."""
--- a/src/mangorock_standins/service.py
+++ b/src/mangorock_standins/service.py
@@ -10,7 +10,7 @@
 import curio
 import orjson
 
-from mangorock import http
+from mangorock import client
 from mangorock_standins import shell
 
 TAKES_S = 0.01
@@ -27,7 +27,7 @@
         self.effects = []
         self.faults = shell.Faults()
         self.store = store
-        self.client = http.Client()
+        self.client = client.Client()
 
     async def handle(self, request, responder):
         """Answer one request."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,7 +8,7 @@
 import attrs
 
 from mangorock import engine
-from mangorock import owner
+from mangorock import ownership
 from mangorock_standins import engine as engine_standin
 
 
@@ -87,14 +87,14 @@
     def take_order(self, order):
         """Take an order; raise `Violation` on what must never come."""
         if self.checks and self.is_old(order):
-            return owner.Outcome.REFUSED
+            return ownership.Outcome.REFUSED
         if order.token < self.acted:
             raise Violation(f'order of a lapsed owner took effect: {order}')
         if order.kind == 'fence':
             if self.is_changing:
-                return owner.Outcome.REFUSED
+                return ownership.Outcome.REFUSED
             self.token = self.acted = order.token
-            return owner.Outcome.TAKEN
+            return ownership.Outcome.TAKEN
         if self.is_changing:
             raise Violation(f'conflicting orders: {order}')
         for attempt in self.running.values():
@@ -104,7 +104,7 @@
         self.order_id = order.order_id
         self.is_changing = True
         self.world.clock.after(CHANGE_S, None, lambda: self._end(order))
-        return owner.Outcome.TAKEN
+        return ownership.Outcome.TAKEN
 
     def _end(self, order):
         self.is_changing = False
--- a/tests/node.py
+++ b/tests/node.py
@@ -12,6 +12,7 @@
 from mangorock import limits
 from mangorock import membership
 from mangorock import owner
+from mangorock import ownership
 from mangorock import relay
 from mangorock import router
 from mangorock import routers
@@ -75,14 +76,14 @@
         if not self.is_joined:
             self.join()
         self.update(now)
-        self.feed(owner.Tick(self.is_wanted()))
+        self.feed(ownership.Tick(self.is_wanted()))
         if self.is_stopping:
             self.end_when_idle()
 
     def stop(self):
         """Take SIGTERM: no new calls, then release, then end."""
         self.is_stopping = True
-        self.feed(owner.Release())
+        self.feed(ownership.Release())
 
     def end_when_idle(self):
         """End the process once nothing is in flight and no duty held."""
@@ -243,9 +244,9 @@
     def run(self, action):
         """Carry out one action, as the daemon's duty task does."""
         match action:
-            case owner.ReadRecord():
+            case ownership.ReadRecord():
                 self.world.call_kv(self, self.read_record, self.on_record)
-            case owner.SwapRecord():
+            case ownership.SwapRecord():
                 self.world.call_kv(
                     self,
                     lambda kv: kv.swap(
@@ -253,9 +254,9 @@
                     ),
                     self.on_swapped,
                 )
-            case owner.AskDrain():
+            case ownership.AskDrain():
                 self.ask_drain(action)
-            case owner.ReadState():
+            case ownership.ReadState():
                 asked_s = self.world.clock.now
                 fake = self.world.engines[action.engine]
                 self.world.rpc(
@@ -263,14 +264,14 @@
                     'a',
                     fake.state,
                     lambda s: self.feed(
-                        owner.StateRead(
+                        ownership.StateRead(
                             action.engine,
                             None if s is fakes.NO_ANSWER else s,
                             asked_s,
                         )
                     ),
                 )
-            case owner.SendOrder():
+            case ownership.SendOrder():
                 self.send_order(action)
 
     @staticmethod
@@ -278,25 +279,25 @@
         """Return what the daemon reads of the ownership record."""
         status, found = kv.get('owner')
         if status != 200:
-            return owner.RecordRead(None, 0)
-        record = owner.record_from_text(found['value'])
+            return ownership.RecordRead(None, 0)
+        record = ownership.record_from_text(found['value'])
         alive = kv.get(f'alive/{record.lease}')[0] == 200
-        return owner.RecordRead(record, found['version'], alive)
+        return ownership.RecordRead(record, found['version'], alive)
 
     def on_record(self, event):
         """Take the record as read."""
         if event is fakes.NO_ANSWER:
-            event = owner.RecordUnknown()
+            event = ownership.RecordUnknown()
         self.feed(event)
 
     def on_swapped(self, answer):
         """Take the outcome of a write of the record."""
         if answer is fakes.NO_ANSWER:
-            self.feed(owner.RecordUnknown())
+            self.feed(ownership.RecordUnknown())
         elif answer[0]:
-            self.feed(owner.RecordSwapped(answer[1]))
+            self.feed(ownership.RecordSwapped(answer[1]))
         else:
-            self.feed(owner.RecordRefused())
+            self.feed(ownership.RecordRefused())
 
     def ask_drain(self, action):
         """Ask a router to drain an engine, or to let it in again."""
@@ -310,7 +311,7 @@
         def on_reply(answer):
             if answer is not fakes.NO_ANSWER:
                 self.feed(
-                    owner.DrainAnswered(
+                    ownership.DrainAnswered(
                         action.engine,
                         action.vm,
                         action.mark,
@@ -337,9 +338,9 @@
             'a',
             lambda: fake.take_order(action.order),
             lambda outcome: self.feed(
-                owner.OrderAnswered(
+                ownership.OrderAnswered(
                     action.engine,
-                    owner.Outcome.UNKNOWN
+                    ownership.Outcome.UNKNOWN
                     if outcome is fakes.NO_ANSWER
                     else outcome,
                 )
@@ -362,7 +363,7 @@
         def on_reply(lease):
             if lease is not fakes.NO_ANSWER and lease != self.lease:
                 self.lease = lease
-                self.feed(owner.LeaseLost(lease))
+                self.feed(ownership.LeaseLost(lease))
 
         self.world.call_kv(self, deliver, on_reply)
 
@@ -379,7 +380,8 @@
         for action in self.shard.handle(event, self.world.clock.now):
             match action:
                 case claims.Reply():
-                    self.callbacks.pop(action.ticket)(action)
+                    if action.ticket is not None:
+                        self.callbacks.pop(action.ticket)(action)
                 case claims.Load():
                     self.load_claims(action)
                 case claims.Write():
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -13,6 +13,7 @@
 from mangorock import attempts
 from mangorock import claims
 from mangorock import owner
+from mangorock import ownership
 from mangorock import relay
 from mangorock import routers
 from mangorock import tables
@@ -50,7 +51,7 @@
     """Skip the acknowledgements of the routers."""
     owned.acked = set(self.routers)
     self._enter(owned, owner.Stage.QUIET, now)
-    return [owner.ReadState(owned.name)]
+    return [ownership.ReadState(owned.name)]
 
 
 def is_always_newer(self, other):
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -210,6 +210,13 @@
             with self.assertRaises(errors.BadRequest):
                 self.accept(body, **{name: value})
 
+    def test_only_a_daemon_names_the_internal_id(self):
+        body = b'{"model": "m", "prompt": "x"}'
+        headers = {calls.PEER_REQUEST_HEADER: 'stolen'}
+        request = http.Request('POST', '/v1/completions', headers, body)
+        self.assertNotEqual('stolen', calls.accept(request).internal_id)
+        self.assertEqual('stolen', calls.accept(request, True).internal_id)
+
     def test_unknown_path(self):
         with self.assertRaises(errors.NotFound):
             self.accept(path='/v2')
@@ -399,6 +406,23 @@
         self.assertEqual(300, len(shard.index))
         self.assertEqual(5, len(store))
 
+    def test_claim_that_landed_after_its_refusal_is_given_back(self):
+        shard = claims.Shard()
+        entry = claims.Entry('00', 'one', claims.Kind.CLAIMED, 1.0)
+        shard.handle(claims.Submit('t', entry), 1.0)
+        (write,) = shard.handle(claims.Loaded({}), 1.0)
+        shard.handle(claims.Lost(), 1.0)
+        (reply,) = shard.handle(claims.Unavailable(), 1.0)
+        self.assertIs(claims.Outcome.UNAVAILABLE, reply.outcome)
+        other = claims.Entry('00', 'two', claims.Kind.CLAIMED, 1.0)
+        shard.handle(claims.Submit('u', other), 1.0)
+        landed = claims.Loaded({0: (write.text, 1)})
+        (write,) = shard.handle(landed, 1.0)
+        self.assertIn('released', write.text)
+        replies = shard.handle(claims.Written(2), 1.0)
+        self.assertIsNone(replies[0].ticket)
+        self.assertIsInstance(replies[1], claims.Write)
+
 
 class TestSmallParts(unittest.TestCase):
     def test_log_line_quotes_what_needs_it(self):
