--- a/src/mangorock/admin.py
+++ b/src/mangorock/admin.py
@@ -233,7 +233,7 @@
         'role': view.role,
         'in_flight': len(view.in_flight),
         'is_draining': view.is_draining or view.address in env.router.drained,
-        'is_leaving': view.is_leaving,
+        'is_leaving': view.is_going(),
         'prefill_tps': round(view.prefill_tps),
         'step_ms': round(view.step_s * 1000, 1),
     }
--- a/src/mangorock/router.py
+++ b/src/mangorock/router.py
@@ -71,14 +71,18 @@
 
     def may_take(self, now):
         """Say whether new work may be sent there."""
-        if self.is_draining or self.is_leaving:
+        if self.is_draining or self.is_going():
             return False
-        if self.report is not None and (
-            self.report.is_leaving or self.report.is_changing
-        ):
+        if self.report is not None and self.report.is_changing:
             return False
         return now >= self.paused_until_s
 
+    def is_going(self):
+        """Say whether the VM list or the engine says that it leaves."""
+        if self.report is not None and self.report.is_leaving:
+            return True
+        return self.is_leaving
+
     def cached_tokens(self, demand, piece_tokens):
         """Return the leading prompt tokens believed to be cached."""
         count = 0
--- a/src/mangorock_standins/fleet.py
+++ b/src/mangorock_standins/fleet.py
@@ -174,8 +174,8 @@
             args += ['--' + option.replace('_', '-'), str(value)]
         return self._spawn(name, 'mangorock_standins.engine', args)
 
-    def publish_vms(self):
-        """Give the platform its VM list."""
+    def publish_vms(self, leaving=()):
+        """Give the platform its VM list; VMs in ``leaving`` are leaving."""
         rows = [
             {
                 'name': entry['vm'],
@@ -186,8 +186,22 @@
             }
             for entry in self.config['entry_vms']
         ]
+        rows += self._backend_vms(leaving)
         http_json('POST', self.platform.address, '/control/vms', rows)
 
+    def _backend_vms(self, leaving):
+        return [
+            {
+                'name': server['vm'],
+                'failure_domain': server['failure_domain'],
+                'state': 'leaving' if server['vm'] in leaving else 'live',
+                'kind': 'backend',
+            }
+            for pool in self.tables['pools'].values()
+            for server in pool['servers'].values()
+            if server.get('vm')
+        ]
+
     @staticmethod
     def _peer_address(entry):
         if 'peer_address' not in entry:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -242,6 +242,41 @@
         )
 
 
+class TestLeavingServer(test_path.DeskCase):
+    def assert_no_new_work(self, name):
+        """Wait until its routers know, then count what it gets."""
+        desk = self.desk
+        row = desk.tables['pools']['language']['servers'][name]
+        vms = [
+            d
+            for d in desk.daemons.values()
+            if d.failure_domain == row['failure_domain']
+        ]
+        for daemon in vms:
+            desk.wait_status(
+                daemon,
+                lambda s: any(
+                    v['name'] == name and v['is_leaving'] for v in s['servers']
+                ),
+            )
+        address = desk.servers[name].address
+        before = fleet.http_json('GET', address, '/control/log')[1]
+        for daemon in vms * 4:
+            status, answer = test_path.complete(desk, daemon.vm)
+            self.assertEqual(200, status, answer)
+        after = fleet.http_json('GET', address, '/control/log')[1]
+        self.assertEqual(before['counts'], after['counts'])
+
+    def test_platforms_list_alone_stops_new_work(self):
+        self.desk.publish_vms(leaving=['engine-3'])
+        self.assert_no_new_work('e3')
+
+    def test_engines_own_report_alone_stops_new_work(self):
+        server = self.desk.servers['e4']
+        self.desk.faults(server, is_leaving=True)
+        self.assert_no_new_work('e4')
+
+
 class TestDomainLoss(test_path.DeskCase):
     def test_silent_domain_does_not_stop_the_others_and_catches_up(self):
         desk = self.desk
