--- a/src/mangorock/duties.py
+++ b/src/mangorock/duties.py
@@ -11,7 +11,6 @@
 import curio
 import curio.errors
 import h11
-import orjson
 
 from mangorock import engine
 from mangorock import errors
@@ -105,13 +104,8 @@
         env = self.env
         domain = env.settings.failure_domain
         env.router_set.join(env.settings.vm)
-        for member in env.membership.members.values():
-            if member.failure_domain != domain:
-                continue
-            if member.state is membership.State.LEAVING:
-                env.router_set.leave(member.vm)
-            elif member.state is not membership.State.DEAD:
-                env.router_set.join(member.vm)
+        members = env.membership.members.values()
+        env.router_set.take_members(members, domain)
         for vm in env.vms:
             if vm.failure_domain == domain and vm.kind == gossip.ENTRY_KIND:
                 env.router_set.join(vm.name)
@@ -207,13 +201,7 @@
                 state = await engine.fetch_state(
                     self.env.client, action.engine
                 )
-        except (
-            OSError,
-            h11.ProtocolError,
-            curio.errors.TaskTimeout,
-            errors.BackendRefused,
-            orjson.JSONDecodeError,
-        ):
+        except engine.FAILURES:
             state = None
         return ownership.StateRead(action.engine, state, asked_s)
 
--- a/src/mangorock/engine.py
+++ b/src/mangorock/engine.py
@@ -7,6 +7,8 @@
 import hashlib
 
 import attrs
+import curio.errors
+import h11
 import orjson
 
 from mangorock import errors
@@ -17,6 +19,15 @@
 PREFILL_PATH = '/v1/prefill'
 DONE_LINE = b'data: [DONE]'
 EVENT_END = b'\n\n'
+# What a question to an engine may end with instead of an answer.
+FAILURES = (
+    OSError,
+    h11.ProtocolError,
+    curio.errors.TaskTimeout,
+    errors.BackendRefused,
+    orjson.JSONDecodeError,
+    LookupError,
+)
 _HEADERS = [('content-type', 'application/json')]
 
 
--- a/src/mangorock/gossip.py
+++ b/src/mangorock/gossip.py
@@ -5,9 +5,9 @@
 import curio
 
 from mangorock import logs
-from mangorock import membership
 from mangorock import peer_pb2
 from mangorock import peers
+from mangorock import routers
 from mangorock import watcher
 
 SEEDS_PER_TICK = 4
@@ -133,26 +133,6 @@
     return peer_pb2.JoinReply(vm=env.settings.vm, drained=drained)
 
 
-def must_ask(env, answered):
-    """Return the members of the own domain that have not answered yet.
-
-    A member that the platform's list no longer shows is not waited for.
-    """
-    domain = env.settings.failure_domain
-    listed = {vm.name for vm in env.vms}
-    waiting = []
-    for member in env.membership.members.values():
-        if member.failure_domain != domain or member.vm in answered:
-            continue
-        is_dead = member.state is membership.State.DEAD
-        if is_dead and member.vm not in listed:
-            continue
-        if member.state is membership.State.LEAVING:
-            continue
-        waiting.append(member)
-    return waiting
-
-
 async def join(env):
     """Be counted as a router by every daemon of the domain.
 
@@ -163,7 +143,12 @@
     # Give the first probes time to tell who is there.
     await curio.sleep(env.settings.probe_interval_s)
     while True:
-        waiting = must_ask(env, answered)
+        waiting = routers.to_ask(
+            env.membership.members.values(),
+            env.settings.failure_domain,
+            answered,
+            {vm.name for vm in env.vms},
+        )
         if not waiting:
             break
         for member in waiting:
--- a/src/mangorock/reports.py
+++ b/src/mangorock/reports.py
@@ -3,14 +3,11 @@
 import time
 
 import curio
-import curio.errors
-import h11
-import orjson
 
 from mangorock import engine
-from mangorock import errors
 
 CALL_TIMEOUT_S = 2.0
+MAX_POLLS_PER_S = 8.0
 
 
 async def poll_forever(env):
@@ -35,7 +32,17 @@
     while True:
         await poll_once(env, key)
         spread = 0.8 + 0.4 * env.random.random()
-        await curio.sleep(env.settings.report_interval_s * spread)
+        await curio.sleep(interval_s(env) * spread)
+
+
+def interval_s(env):
+    """Return the seconds between reports of one engine.
+
+    With many engines each is asked less often, so that what a daemon
+    spends on reports does not grow with the fleet.
+    """
+    least_s = len(env.router.views) / MAX_POLLS_PER_S
+    return max(env.settings.report_interval_s, least_s)
 
 
 async def poll_once(env, key):
@@ -48,14 +55,7 @@
             report = await engine.fetch_report(
                 env.client, view.address, view.since_event
             )
-    except (
-        OSError,
-        h11.ProtocolError,
-        curio.errors.TaskTimeout,
-        errors.BackendRefused,
-        orjson.JSONDecodeError,
-        LookupError,
-    ):
+    except engine.FAILURES:
         env.metrics.add('reports.failed')
         env.router.failed(view, time.monotonic())
         return
--- a/src/mangorock/routers.py
+++ b/src/mangorock/routers.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from mangorock import membership
+
 # Longer than the VM list may lag, plus the longest life of a connection.
 GONE_S = 30.0
 
@@ -29,6 +31,19 @@
         """Count out a router that has ended its last request."""
         self.known.discard(vm)
 
+    def take_members(self, members, failure_domain):
+        """Take the daemons of a failure domain as membership knows them.
+
+        A dead one is neither joined nor left: it may be paused.
+        """
+        for member in members:
+            if member.failure_domain != failure_domain:
+                continue
+            if member.state is membership.State.LEAVING:
+                self.leave(member.vm)
+            elif member.state is not membership.State.DEAD:
+                self.join(member.vm)
+
     def take_list(self, vms, now):
         """Take the names on the platform's list."""
         names = set(vms)
@@ -45,3 +60,23 @@
     def current(self):
         """Return the VMs whose acknowledgement is needed."""
         return frozenset(self.known)
+
+
+def to_ask(members, failure_domain, answered, listed):
+    """Return the members that a starting router must still ask.
+
+    One that is dead and that the platform's list does not show is not
+    waited for.
+    """
+    waiting = []
+    for member in members:
+        if member.failure_domain != failure_domain:
+            continue
+        if member.vm in answered:
+            continue
+        is_dead = member.state is membership.State.DEAD
+        if is_dead and member.vm not in listed:
+            continue
+        if member.state is not membership.State.LEAVING:
+            waiting.append(member)
+    return waiting
--- a/tests/node.py
+++ b/tests/node.py
@@ -99,13 +99,8 @@
     def update(self, now):
         """Bring the machines' inputs up to date."""
         self.router_set.join(self.vm)
-        for member in self.membership.members.values():
-            if member.failure_domain != self.domain:
-                continue
-            if member.state is membership.State.LEAVING:
-                self.router_set.leave(member.vm)
-            elif member.state is not membership.State.DEAD:
-                self.router_set.join(member.vm)
+        members = self.membership.members.values()
+        self.router_set.take_members(members, self.domain)
         for vm in self.listed:
             if vm[0] == self.domain:
                 self.router_set.join(vm)
@@ -200,20 +195,16 @@
 
     def join(self):
         """Be counted as a router by all others of the domain."""
-        waiting = [
-            m.vm
-            for m in self.membership.members.values()
-            if m.failure_domain == self.domain
-            and m.vm not in self.answered
-            and m.state is not membership.State.LEAVING
-            and not (
-                m.state is membership.State.DEAD and m.vm not in self.listed
-            )
-        ]
+        waiting = routers.to_ask(
+            self.membership.members.values(),
+            self.domain,
+            self.answered,
+            self.listed,
+        )
         if not waiting and self.ticks > 4:
             self.is_joined = True
-        for vm in waiting:
-            self.ask_join(vm)
+        for member in waiting:
+            self.ask_join(member.vm)
 
     def ask_join(self, vm):
         """Ask one node, and learn what is drained."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -10,7 +10,6 @@
 
 import orjson
 
-from mangorock_standins import fleet
 from tests import test_path
 
 
@@ -195,7 +194,7 @@
                 ]
                 statuses = {end.result()[0] for end in ends}
                 self.assertEqual({200}, statuses)
-                log = fleet.http_json('GET', server.address, '/control/log')[1]
+                log = test_path.log_of(server)
                 if log['counts'].get('role_changes'):
                     break
         self.assertEqual(1, log['counts'].get('role_changes'), domain)
@@ -231,11 +230,11 @@
         )
         self.assertEqual(0, done.returncode, done.stderr)
         server = desk.servers['e2']
-        before = fleet.http_json('GET', server.address, '/control/log')[1]
+        before = test_path.log_of(server)
         for vm in list(desk.daemons) * 2:
             status, answer = test_path.complete(desk, vm)
             self.assertEqual(200, status, answer)
-        after = fleet.http_json('GET', server.address, '/control/log')[1]
+        after = test_path.log_of(server)
         self.assertEqual(
             before['counts'].get('prompt_tokens'),
             after['counts'].get('prompt_tokens'),
@@ -259,12 +258,12 @@
                     v['name'] == name and v['is_leaving'] for v in s['servers']
                 ),
             )
-        address = desk.servers[name].address
-        before = fleet.http_json('GET', address, '/control/log')[1]
+        server = desk.servers[name]
+        before = test_path.log_of(server)
         for daemon in vms * 4:
             status, answer = test_path.complete(desk, daemon.vm)
             self.assertEqual(200, status, answer)
-        after = fleet.http_json('GET', address, '/control/log')[1]
+        after = test_path.log_of(server)
         self.assertEqual(before['counts'], after['counts'])
 
     def test_platforms_list_alone_stops_new_work(self):
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -43,6 +43,11 @@
     )
 
 
+def log_of(server):
+    """Return the orders and counts of one engine."""
+    return fleet.http_json('GET', server.address, '/control/log')[1]
+
+
 class DeskCase(unittest.TestCase):
     """A desk that the tests of a class share."""
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -1,16 +1,9 @@
 """Ways a request takes: split over two engines, or to another domain."""
 
-from mangorock_standins import fleet
 from tests import test_failures
 from tests import test_path
 
 
-def log_of(desk, name):
-    """Return the counts of one engine."""
-    address = desk.servers[name].address
-    return fleet.http_json('GET', address, '/control/log')[1]['counts']
-
-
 class TestSplit(test_path.DeskCase):
     def test_prefill_and_decode_on_two_engines(self):
         desk = self.desk
@@ -30,13 +23,22 @@
                 and not any(v['is_draining'] for v in s['servers'])
             ),
         )
-        before = log_of(desk, 'e1').get('prefill_tokens', 0)
+        before = test_path.log_of(desk.servers['e1'])['counts'].get(
+            'prefill_tokens', 0
+        )
         status, answer = test_path.complete(desk, 'entry-1', 9)
         self.assertEqual(200, status, answer)
         self.assertEqual(9, answer['usage']['completion_tokens'])
-        self.assertGreater(log_of(desk, 'e1')['prefill_tokens'], before)
-        self.assertEqual(0, log_of(desk, 'e1').get('tokens', 0))
-        self.assertEqual(9, log_of(desk, 'e4').get('tokens', 0))
+        self.assertGreater(
+            test_path.log_of(desk.servers['e1'])['counts']['prefill_tokens'],
+            before,
+        )
+        self.assertEqual(
+            0, test_path.log_of(desk.servers['e1'])['counts'].get('tokens', 0)
+        )
+        self.assertEqual(
+            9, test_path.log_of(desk.servers['e4'])['counts'].get('tokens', 0)
+        )
 
 
 class TestOtherDomain(test_path.DeskCase):
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,6 +15,18 @@
 from tests import node as node_module
 
 
+def once(on_reply):
+    """Return ``on_reply`` made to run for the first answer only."""
+    is_over = []
+
+    def reply(answer):
+        if not is_over:
+            is_over.append(True)
+            on_reply(answer)
+
+    return reply
+
+
 class World:
     """Two failure domains, three nodes in the first and one in the other."""
 
@@ -101,12 +113,7 @@
 
     def rpc(self, node, domain, deliver, on_reply, timeout_s=None, late_s=0):
         """Send a call; ``on_reply`` gets the answer or `fakes.NO_ANSWER`."""
-        is_over = []
-
-        def reply(answer):
-            if not is_over:
-                is_over.append(True)
-                on_reply(answer)
+        reply = once(on_reply)
 
         def arrive():
             if self.is_cut(node.domain, domain):
@@ -136,12 +143,7 @@
                 fakes.DELAY_S, node, lambda: on_reply(fakes.NO_ANSWER)
             )
             return
-        is_over = []
-
-        def reply(answer):
-            if not is_over:
-                is_over.append(True)
-                on_reply(answer)
+        reply = once(on_reply)
 
         def arrive():
             if self.is_cut(node.domain, peer.domain):
