Control work within its budget: leases only for the duty, fewer ticks and reports

Cause (idle daemon, profile of 22 s): reports of engines took the most of the curio thread, then the duty's ticks five times a second; every daemon kept a lease, a platform write each 3.3 s, though few hold a duty. Ruled out: the membership's probes (65 us a second at 76 members).

The fleet tool took ports that outgoing connections could take before the daemon bound them (seen once at 40 daemons: a3 could not bind); it now takes ports below that range.

--- a/src/mangorock/duties.py
+++ b/src/mangorock/duties.py
@@ -24,6 +24,8 @@
 from mangorock import planner
 
 TICK_S = 0.2
+# A daemon without the duty looks less often.
+IDLE_TICK_S = 1.0
 ENGINE_TIMEOUT_S = 5.0
 RELEASE_LIMIT_S = 10.0
 LEASE_RETRY_S = 2.0
@@ -86,13 +88,17 @@
     async def step(self):
         """Take the events of one interval, then tick."""
         try:
-            async with curio.timeout_after(TICK_S):
+            async with curio.timeout_after(self._tick_s()):
                 while True:
                     event = await self.events.get()
                     await self._handle(event)
         except curio.errors.TaskTimeout:
             await self._tick()
 
+    def _tick_s(self):
+        is_free = self.owner.phase is owner.Phase.FREE
+        return IDLE_TICK_S if is_free else TICK_S
+
     async def _tick(self):
         env, now = self.env, time.monotonic()
         self._update(now)
@@ -227,10 +233,18 @@
         return ownership.OrderAnswered(action.engine, outcome)
 
     async def keep_lease(self):
-        """Hold a lease, with a key that shows it is alive, for ever."""
+        """Hold a lease, with a key that shows it is alive, for ever.
+
+        Only a daemon that holds or seeks the duty needs one, so the
+        platform's writes do not grow with the number of daemons.
+        """
         platform = self.env.platform
         lease = ''
         while True:
+            is_free = self.owner.phase is owner.Phase.FREE
+            if is_free and not is_wanted(self.env):
+                await curio.sleep(IDLE_TICK_S)
+                continue
             try:
                 if not lease or not await platform.keep_lease(lease):
                     lease = await self._new_lease()
--- a/src/mangorock/owner.py
+++ b/src/mangorock/owner.py
@@ -162,7 +162,9 @@
             is_idle = self.has_looked and not event.is_wanted
             if is_idle or self.wants_release:
                 return []
-            if not self.is_listed or not self.lease:
+            if not self.is_listed:
+                return []
+            if event.is_wanted and not self.lease:
                 return []
             if now < self.next_read_s:
                 return []
--- a/src/mangorock/reports.py
+++ b/src/mangorock/reports.py
@@ -7,7 +7,7 @@
 from mangorock import engine
 
 CALL_TIMEOUT_S = 2.0
-MAX_POLLS_PER_S = 8.0
+MAX_POLLS_PER_S = 6.0
 
 
 async def poll_forever(env):
--- a/src/mangorock_standins/fleet.py
+++ b/src/mangorock_standins/fleet.py
@@ -9,6 +9,7 @@
 import contextlib
 import copy
 import hashlib
+import itertools
 import os
 import pathlib
 import signal
@@ -25,14 +26,35 @@
 PEER_KEY = 'peer-key-of-the-demo-fleet'
 OPERATOR_TOKEN = 'operator-token-of-the-demo'
 START_TIMEOUT_S = 30.0
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
 STOP_TIMEOUT_S = 20.0
 
 
+def _candidate_ports():
+    """Yield ports below the range that outgoing connections take.
+
+    A port of that range could be taken between its choice and its use.
+    Fleets that run at once start at different places.
+    """
+    size = LAST_PORT - FIRST_PORT
+    start = os.getpid() * 97 % size
+    for number in itertools.count(start):
+        yield FIRST_PORT + number % size
+
+
+_PORTS = _candidate_ports()
+
+
 def free_port():
     """Return a port of 127.0.0.1 that nothing listens on."""
-    with contextlib.closing(socket.socket()) as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
+    for port in _PORTS:
+        with contextlib.closing(socket.socket()) as sock:
+            try:
+                sock.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
 
 
 def http_json(method, address, path, data=None, headers=(), timeout_s=30):
--- a/tests/node.py
+++ b/tests/node.py
@@ -341,7 +341,9 @@
         )
 
     def keep_lease(self):
-        """Keep a lease alive, or get a new one."""
+        """Keep a lease alive, or get a new one, with or for the duty."""
+        if self.owner.phase is owner.Phase.FREE and not self.is_wanted():
+            return
 
         def deliver(kv):
             now = self.world.clock.now
