--- a/src/mangorock/client.py
+++ b/src/mangorock/client.py
@@ -1,7 +1,8 @@
 """The HTTP/1.1 client, over curio sockets, with h11.
 
 It opens one `Exchange` per request.  A connection that was cancelled, timed
-out or broke is never reused.
+out or broke is never reused, nor is one on which bytes arrived that belong
+to no request.
 """
 
 import collections
@@ -12,19 +13,31 @@
 import curio.socket
 import h11
 
+from mangorock import logs
+
 READ_BYTES = 65536
 # Shorter than servers keep idle connections open, so that a reused one is
 # rarely one that the server has just closed.
 REUSE_WITHIN_S = 30.0
+# A server that states its idle timeout may close this much earlier.
+KEEP_ALIVE_MARGIN_S = 0.7
 MAX_IDLE_PER_ADDRESS = 64
+# A longer body is sent while the answer is awaited, since a server may
+# answer before it has read all of it.
+LONG_BODY_BYTES = 16384
+METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
+# Keep-alive probes show a connection that went silent within three seconds.
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_PROBES = 2
 
 
 class Exchange:
     """One request to a server and its answer.
 
     ``is_written`` turns true before the first byte is handed to the socket.
-    ``status`` and ``headers`` are set by `send`; the body is read with
-    `read` (whole) or `read_some` (what has arrived; ``b''`` at the end).
+    ``status``, ``headers`` (lower-case names) and ``raw_headers`` (pairs of
+    bytes) are set by `send`; the body is read with `read` (whole) or
+    `read_some` (what has arrived; ``b''`` at the end).
     """
 
     def __init__(self, address, sock, conn, is_reused):
@@ -36,29 +49,68 @@
         self.needs_data = False
         self.status = 0
         self.headers = {}
+        self.raw_headers = []
+        self.request = None
+        self.writer = None
 
     async def send(self, method, path, headers, body):
-        """Write the request and read the head of the answer."""
-        head = [('host', self.address), *headers]
-        head.append(('content-length', str(len(body))))
-        data = self.conn.send(
-            h11.Request(method=method, target=path, headers=head)
-        )
+        """Write the request and read the head of the answer.
+
+        The address is sent as ``host`` unless ``headers`` has one.
+        """
+        head = list(headers)
+        if not any(name in ('host', b'host') for name, _ in head):
+            head.insert(0, ('host', self.address))
+        if body or method in METHODS_WITH_BODY:
+            head.append(('content-length', str(len(body))))
+        self.request = h11.Request(method=method, target=path, headers=head)
+        data = self.conn.send(self.request)
         data += self.conn.send(h11.Data(data=body)) if body else b''
         data += self.conn.send(h11.EndOfMessage())
         self.is_written = True
-        await self.sock.sendall(data)
+        if len(body) > LONG_BODY_BYTES:
+            self.writer = await curio.spawn(self._write, data, daemon=True)
+        else:
+            await self.sock.sendall(data)
+        await self._read_head()
+
+    async def _write(self, data):
+        try:
+            await self.sock.sendall(data)
+        except OSError as exc:
+            # The reading side sees the broken connection and reports it.
+            logs.debug('body_not_sent', server=self.address, error=repr(exc))
+
+    async def _read_head(self):
         event = await self._next_event()
         while isinstance(event, h11.InformationalResponse):
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ConnectionResetError('closed before an answer')
         self.status = event.status_code
+        self.raw_headers = event.headers.raw_items()
         self.headers = {
             name.decode('latin-1'): value.decode('latin-1')
             for name, value in event.headers
         }
 
+    async def skip_answer(self):
+        """Drop the answer whose head was read, and read the next head.
+
+        For a server that answers an earlier request late: that answer
+        stands where the one to this request is due.
+        """
+        await self.read()
+        rest, is_closed = self.conn.trailing_data
+        self.conn = h11.Connection(h11.CLIENT)
+        self.conn.send(self.request)
+        self.needs_data = False
+        if rest:
+            self.conn.receive_data(rest)
+        if is_closed:
+            self.conn.receive_data(b'')
+        await self._read_head()
+
     async def _next_event(self):
         while True:
             event = self.conn.next_event()
@@ -73,7 +125,7 @@
         `OSError`; it is never taken for an end.
         """
         conn, parts = self.conn, []
-        while True:
+        while not self.is_ended:
             if self.needs_data:
                 conn.receive_data(await self.sock.recv(READ_BYTES))
                 self.needs_data = False
@@ -85,10 +137,9 @@
                     return b''.join(parts)
             elif isinstance(event, h11.Data):
                 parts.append(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return b''.join(parts)
-            else:
+            elif not isinstance(event, h11.EndOfMessage):
                 raise ConnectionResetError('closed inside an answer')
+        return b''.join(parts)
 
     def abort(self):
         """End both directions at once; a waiting read fails."""
@@ -101,18 +152,34 @@
     async def read(self):
         """Return the whole body."""
         parts = []
-        while self.conn.their_state is not h11.DONE:
+        while not self.is_ended:
             parts.append(await self.read_some())
         return b''.join(parts)
 
     @property
-    def is_whole(self):
-        """Say whether the answer was read to its end."""
+    def is_ended(self):
+        """Say whether the body was read to its end."""
+        return self.conn.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
+    @property
+    def is_reusable(self):
+        """Say whether another request may follow on this connection."""
+        if self.writer is not None and not self.writer.terminated:
+            return False
         return (
             self.conn.their_state is h11.DONE
             and self.conn.our_state is h11.DONE
+            and self.conn.trailing_data == (b'', False)
         )
 
+    def idle_s(self):
+        """Return for how many seconds the connection may stay idle."""
+        for part in self.headers.get('keep-alive', '').split(','):
+            name, _, value = part.strip().partition('=')
+            if name.lower() == 'timeout' and value.isdigit():
+                return min(REUSE_WITHIN_S, int(value) - KEEP_ALIVE_MARGIN_S)
+        return REUSE_WITHIN_S
+
 
 class Client:
     """Opens exchanges to addresses (``'IP:port'``) and keeps idle ones.
@@ -121,26 +188,33 @@
     reused: late bytes of its answer cannot reach another request.
     """
 
-    def __init__(self, connect_timeout_s=2.0):
+    def __init__(self, connect_timeout_s=2.0, send_timeout_s=None):
         self.connect_timeout_s = connect_timeout_s
+        self.send_timeout_s = send_timeout_s
         self.idle = collections.defaultdict(collections.deque)
+        self.opened = 0
 
-    async def open(self, address, is_fresh=False):
+    async def open(self, address, is_fresh=False, idle_within_s=None):
         """Return an `Exchange` on a connection to ``address``.
 
         With ``is_fresh`` no kept connection is used: a kept one may have
         been closed by the server, and then a written request's fate is
-        unknown.  Raises `OSError` when no connection can be made.
+        unknown.  ``idle_within_s`` takes only those used so recently.
+        Raises `OSError` when no connection can be made.
         """
         now = await curio.clock()
         kept = self.idle[address]
         while kept and not is_fresh:
-            sock, conn, since_s = kept.pop()
-            if now - since_s < REUSE_WITHIN_S:
+            sock, conn, since_s, until_s = kept[-1]
+            if idle_within_s is not None and now - since_s > idle_within_s:
+                break
+            kept.pop()
+            if now < until_s and is_quiet(sock):
                 conn.start_next_cycle()
                 return Exchange(address, sock, conn, True)
             await sock.close()
         sock = await self._connect(address)
+        self.opened += 1
         conn = h11.Connection(h11.CLIENT)
         return Exchange(address, sock, conn, False)
 
@@ -149,7 +223,7 @@
         # take a thread of its own for each connection.
         host, _, port = address.rpartition(':')
         sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        set_options(sock, self.send_timeout_s)
         try:
             async with curio.timeout_after(self.connect_timeout_s):
                 await sock.connect((host, int(port)))
@@ -164,12 +238,32 @@
     async def release(self, exchange):
         """Keep the connection of a whole exchange, close any other."""
         kept = self.idle[exchange.address]
-        if exchange.is_whole and len(kept) < MAX_IDLE_PER_ADDRESS:
+        idle_s = exchange.idle_s()
+        if (
+            exchange.is_reusable
+            and idle_s > 0
+            and len(kept) < MAX_IDLE_PER_ADDRESS
+        ):
             now = await curio.clock()
-            kept.append((exchange.sock, exchange.conn, now))
+            kept.append((exchange.sock, exchange.conn, now, now + idle_s))
             return
+        await self.discard(exchange)
+
+    async def discard(self, exchange):
+        """Close the connection of an exchange."""
+        if exchange.writer is not None:
+            await exchange.writer.cancel()
         await exchange.sock.close()
 
+    async def prune(self):
+        """Close kept connections whose time is over."""
+        now = await curio.clock()
+        for address, kept in list(self.idle.items()):
+            while kept and kept[0][3] <= now:
+                await kept.popleft()[0].close()
+            if not kept:
+                del self.idle[address]
+
     async def call(self, address, method, path, headers=(), body=b''):
         """Send a request that may be repeated, return (status, bytes).
 
@@ -198,6 +292,32 @@
     async def close(self):
         """Close every kept connection."""
         for kept in self.idle.values():
-            for sock, _, _ in kept:
+            for sock, *_ in kept:
                 await sock.close()
         self.idle.clear()
+
+
+def is_quiet(sock):
+    """Say whether an idle connection is open and has nothing to read."""
+    try:
+        # The socket does not block; curio's own ``recv`` would wait.
+        sock._socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def set_options(sock, send_timeout_s=None):
+    """Send at once, and notice a connection that has gone silent."""
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    if send_timeout_s is None:
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEP_ALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+    timeout_ms = int(send_timeout_s * 1000)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, timeout_ms)
--- /dev/null
+++ b/src/mangorock/front.py
@@ -0,0 +1,299 @@
+"""The daemon in front of the backend servers of a platform.
+
+It joins the stages: a mirror of the configuration and one of the register
+of backend servers feed the gateway, the ingress takes callers' connections,
+and a probe address tells the balancer whether new ones are welcome.  It
+keeps nothing: a start reads everything anew.
+"""
+
+import random
+import time
+
+import attrs
+import curio
+import curio.errors
+
+from mangorock import client as clients
+from mangorock import errors
+from mangorock import exposition
+from mangorock import gateway as gateways
+from mangorock import http
+from mangorock import ingress as ingresses
+from mangorock import logs
+from mangorock import mirror
+from mangorock import signals
+
+CONNECT_TIMEOUT_S = 0.5  # A hundred round trips between failure domains.
+SEND_TIMEOUT_S = 2.0  # After which unacknowledged bytes end a connection.
+PRUNE_INTERVAL_S = 0.5
+# Left of the grace period for closing what is still open.
+STOP_MARGIN_S = 0.4
+# A settings file that changes without a signal is noticed this soon.
+SETTINGS_INTERVAL_S = 2.0
+# From SIGTERM until idle connections are closed: the balancer has taken
+# this VM out by then.
+CLOSE_IDLE_AFTER_S = 3.0
+
+
+@attrs.frozen
+class FrontSettings:
+    """What the daemon learns from its settings file.
+
+    Addresses are (host, port); ``metrics_address`` may be None.
+    ``grace_s`` is the time between SIGTERM and SIGKILL.
+    """
+
+    vm: str
+    failure_domain: str
+    caller_address: tuple
+    ready_address: tuple
+    store_address: str
+    grace_s: float
+    metrics_address: tuple | None = None
+
+
+class Front:
+    """The tasks of one daemon, with explicit `start` and `close`.
+
+    ``platform`` is an adapter module or object with ``wire``, ``make_store``,
+    ``config_prefix``, ``servers_prefix``, ``decode_catalog(items)`` and
+    ``decode_server(item)``.
+    """
+
+    def __init__(self, settings, platform):
+        self.settings = settings
+        self.platform = platform
+        self.rng = random.Random()
+        self.metrics = exposition.make_scraped_metrics()
+        self.client = clients.Client(CONNECT_TIMEOUT_S, SEND_TIMEOUT_S)
+        self.gateway = gateways.Gateway(
+            platform.wire,
+            settings.failure_domain,
+            self.client,
+            self.metrics,
+            self.rng,
+        )
+        self.ingress = ingresses.Ingress(
+            self.gateway.handle,
+            lambda: self.gateway.catalog.limits,
+            platform.wire.encode_refusal,
+        )
+        self.config_mirror = mirror.Mirror(platform.config_prefix)
+        self.servers_mirror = mirror.Mirror(platform.servers_prefix)
+        self.is_stopping = False
+        self.was_ready = False
+        self.store = None
+        self.tasks = []
+
+    @property
+    def is_ready(self):
+        """Say whether new connections are welcome."""
+        return (
+            not self.is_stopping
+            and bool(self.gateway.catalog.version)
+            and self.servers_mirror.is_synced
+        )
+
+    async def start(self):
+        """Bind the addresses and start every task."""
+        settings = self.settings
+        callers = http.listen(*settings.caller_address)
+        probes = http.listen(*settings.ready_address)
+        await self.spawn(self.ingress.serve, callers)
+        await self.spawn(
+            http.serve, probes, self._answer_probe, ingresses.MAX_PROBE_BYTES
+        )
+        if settings.metrics_address is not None:
+            scrapes = http.listen(*settings.metrics_address)
+            await self.spawn(
+                http.serve,
+                scrapes,
+                self._answer_scrape,
+                ingresses.MAX_PROBE_BYTES,
+            )
+        store = self.platform.make_store(settings.store_address, self.client)
+        self.store = store
+        await self.spawn(
+            mirror.follow,
+            self.config_mirror,
+            store,
+            self._take_config,
+            self._take_config,
+            self.rng,
+        )
+        await self.spawn(
+            mirror.follow,
+            self.servers_mirror,
+            store,
+            self._take_servers,
+            self._take_changes,
+            self.rng,
+        )
+        await self.spawn(self._prune)
+        logs.event(
+            'started',
+            vm=settings.vm,
+            failure_domain=settings.failure_domain,
+        )
+
+    async def spawn(self, function, *args):
+        """Start a task that `close` ends."""
+        self.tasks.append(await curio.spawn(function, *args, daemon=True))
+
+    def _take_config(self, events):
+        for event in events:
+            if not isinstance(event, mirror.Item):
+                continue
+            newer = self.platform.decode_catalog(event)
+            if newer is None:
+                continue
+            known = self.gateway.catalog.version
+            is_newer = newer.version > known
+            logs.event(
+                'config_read',
+                version=newer.version,
+                known=known,
+                revision=event.revision,
+                in_force=is_newer,
+            )
+            if is_newer:
+                self.gateway.catalog = newer
+
+    def _take_servers(self, items):
+        found = filter(None, map(self.platform.decode_server, items))
+        self.gateway.registry.replace(list(found), time.monotonic())
+        logs.event(
+            'servers_listed',
+            servers=len(self.gateway.registry.servers),
+            revision=self.servers_mirror.revision,
+        )
+
+    def _take_changes(self, events):
+        registry, now = self.gateway.registry, time.monotonic()
+        for event in events:
+            match event:
+                case mirror.Item():
+                    server = self.platform.decode_server(event)
+                    if server is not None and registry.put(server):
+                        logs.event(
+                            'server_changed',
+                            server=server.server_id,
+                            service=server.service,
+                            is_draining=server.is_draining,
+                            stage=server.stage and server.stage.value,
+                            revision=event.revision,
+                        )
+                case mirror.Removal():
+                    server_id = self.platform.server_id(event.key)
+                    registry.remove(server_id, now)
+                    logs.event(
+                        'server_lapsed',
+                        server=server_id,
+                        revision=event.revision,
+                    )
+
+    def reload(self, load):
+        """Take a changed settings file; a bad one changes nothing.
+
+        ``load()`` returns `FrontSettings` or raises `errors.SettingsError`.
+        Addresses to listen on are taken at the next start only.
+        """
+        try:
+            newer = load()
+        except errors.SettingsError as exc:
+            logs.warning('settings_refused', error=exc.message)
+            return
+        if newer == self.settings:
+            return
+        needs_start = attrs.evolve(
+            newer,
+            store_address=self.settings.store_address,
+            grace_s=self.settings.grace_s,
+        )
+        logs.event(
+            'settings_reloaded',
+            store=newer.store_address,
+            grace_s=newer.grace_s,
+            needs_start=needs_start != self.settings,
+        )
+        self.store.address = newer.store_address
+        self.settings = attrs.evolve(
+            self.settings,
+            store_address=newer.store_address,
+            grace_s=newer.grace_s,
+        )
+
+    async def watch_settings(self, load, hangup):
+        """Reload at each ``hangup`` and every few seconds, for ever."""
+        while True:
+            async with curio.ignore_after(SETTINGS_INTERVAL_S):
+                await hangup.wait()
+                hangup.clear()
+                logs.event('hangup')
+            self.reload(load)
+
+    async def _prune(self):
+        """Forget what is over, for ever."""
+        while True:
+            await curio.sleep(PRUNE_INTERVAL_S)
+            gateway = self.gateway
+            gateway.registry.forget(time.monotonic())
+            lives = {s.life for s in gateway.registry.servers.values()}
+            gateway.placer.forget(lives)
+            gateway.outliers.forget(lives)
+            await self.client.prune()
+
+    async def _answer_probe(self, request, responder):
+        is_ready = self.is_ready
+        if is_ready != self.was_ready:
+            logs.event('readiness', is_ready=is_ready)
+            self.was_ready = is_ready
+        await responder.respond(200 if is_ready else 503, b'')
+
+    async def _answer_scrape(self, request, responder):
+        await responder.respond(
+            200,
+            exposition.render(self.metrics),
+            [('content-type', exposition.CONTENT_TYPE)],
+        )
+
+    async def stop(self):
+        """See the open requests off within the grace period.
+
+        Idle connections stay open until the balancer has taken this VM out,
+        so that no caller meets a close.  Returns whether all was served.
+        """
+        started_s = time.monotonic()
+        self.is_stopping = self.ingress.is_stopping = True
+        logs.event('stopping', in_flight=self.ingress.in_flight)
+        end_s = started_s + self.settings.grace_s - STOP_MARGIN_S
+        while time.monotonic() < end_s:
+            if time.monotonic() - started_s > CLOSE_IDLE_AFTER_S:
+                await self.ingress.close_idle()
+                if not self.ingress.connections:
+                    break
+            await curio.sleep(0.05)
+        return not self.ingress.in_flight
+
+    async def close(self):
+        """Cancel the tasks in reverse order; may be called twice."""
+        while self.tasks:
+            await self.tasks.pop().cancel()
+        await self.client.close()
+
+
+async def serve(load, platform):
+    """Run until SIGTERM; return whether every request was served.
+
+    ``load()`` returns `FrontSettings`; ``platform`` is as for `Front`.
+    """
+    front = Front(load(), platform)
+    stop = signals.make_stop_event()
+    hangup = signals.make_hangup_event()
+    await front.start()
+    await front.spawn(front.watch_settings, load, hangup)
+    await stop.wait()
+    is_clean = await front.stop()
+    await front.close()
+    logs.event('stopped', is_clean=is_clean)
+    return is_clean
--- /dev/null
+++ b/src/mangorock/gateway.py
@@ -0,0 +1,382 @@
+"""Forwards callers' requests to the backend servers of their route.
+
+The stages of a request: find its route, pick its service, wait for a place,
+send, relay.  Whatever ends a request early leaves as one typed refusal; a
+refusal that says "not run" is only used while that is certain.
+"""
+
+import random
+import time
+
+import attrs
+import curio
+import curio.errors
+
+from mangorock import catalog as catalogs
+from mangorock import errors
+from mangorock import generation
+from mangorock import ingress
+from mangorock import limits
+from mangorock import logs
+from mangorock import metrics as metrics_module
+from mangorock import outliers as outliers_module
+from mangorock import placement
+from mangorock import registry as registries
+from mangorock import sending
+from mangorock import traffic
+from mangorock import waiting
+
+# Requests that may wait for a place at once, for each service.
+MAX_WAITING = 64
+# The part of the target for which a request waits for a place.
+WAIT_SHARE = 0.5
+# The part of the time left after which a safe request is sent again.
+TRY_SHARE = 0.4
+MIN_TRY_S = 0.25
+# Sends that reach no server are free, but not without end.
+MAX_UNREACHED = 3
+# Retry-After is spread over this span, in seconds.
+RETRY_AFTER_S = (0.3, 0.9)
+# The fleet's retry budget, as one VM's share of its own arrivals.
+RETRY_SHARE = 0.12
+RETRY_BURST = 5.0
+
+
+@attrs.define
+class Work:
+    """One request on its way through the stages."""
+
+    request: object
+    route: catalogs.Route
+    reply: ingress.Reply
+    deadline_s: float
+    service: str = ''
+    tried: set = attrs.field(factory=set)
+    sends: int = 0
+    unreached: int = 0
+    may_have_run: bool = False
+
+    @property
+    def left_s(self):
+        """Return the seconds until the deadline."""
+        return self.deadline_s - time.monotonic()
+
+
+@attrs.define
+class Gateway:
+    """The stages with what they share; ``wire`` is an adapter."""
+
+    wire: object
+    failure_domain: str
+    client: object
+    metrics: object
+    rng: random.Random = attrs.field(factory=random.Random)
+    catalog: catalogs.Catalog = attrs.field(
+        factory=catalogs.make_empty_catalog
+    )
+    registry: registries.Registry = attrs.field(factory=registries.Registry)
+    lines: dict = attrs.field(factory=dict)
+    budget: limits.RetryBudget = attrs.field(
+        factory=lambda: limits.RetryBudget(
+            RETRY_BURST, RETRY_BURST, RETRY_SHARE
+        )
+    )
+    placer: placement.Placer = attrs.field(init=False)
+    outliers: outliers_module.Outliers = attrs.field(
+        factory=outliers_module.Outliers
+    )
+    sender: sending.Sender = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.placer = placement.Placer(self.failure_domain)
+        self.sender = sending.Sender(
+            self.client, self.wire, self.placer, self.outliers
+        )
+
+    async def handle(self, raw, reply):
+        """Serve one request; an `ingress.Ingress` calls this."""
+        end = 'whole'
+        work = None
+        try:
+            request = self.wire.decode_request(raw)
+            work = self._find(request, reply)
+            async with curio.timeout_after(work.left_s):
+                end = await self._serve(work)
+        except errors.MangorockError as exc:
+            end = exc.reason.value
+            await self._refuse(reply, exc)
+        except curio.errors.TaskTimeout:
+            end = 'timeout'
+            await self._refuse(reply, _late(work))
+        except (OSError, curio.errors.CancelledError):
+            end = 'caller_gone'
+            self.metrics.add('caller_gone')
+            raise
+        except Exception as exc:
+            end = 'internal'
+            logs.exception('request_failed', path=raw.target, error=repr(exc))
+            await self._refuse(
+                reply,
+                errors.Internal(
+                    'the daemon failed; look up whether the request took '
+                    'effect before repeating it'
+                ),
+            )
+        finally:
+            self._account(raw, work, end)
+
+    def _account(self, raw, work, end):
+        seconds = time.monotonic() - raw.received_s
+        self.metrics.timing('request', seconds)
+        logs.event(
+            'request_done',
+            request=work.request.request_id if work else '',
+            route=work.route.name if work else '',
+            end=end,
+            sends=work.sends if work else 0,
+            seconds=seconds,
+            config=self.catalog.version,
+        )
+
+    async def _refuse(self, reply, error):
+        self.metrics.refused(error.reason)
+        if reply.is_started:
+            reply.abort()
+            return
+        status, headers, body = self.wire.encode_refusal(error)
+        await reply.respond(status, headers, body)
+
+    def _find(self, request, reply):
+        if not self.catalog.version:
+            raise errors.NoTables(
+                'no configuration was read yet; check the platform',
+                retry_after_s=0.5,
+            )
+        route = self.catalog.find_route(request.host, request.path)
+        if route is None:
+            raise errors.NoRoute(
+                f'no route for host {request.host!r} and path '
+                f'{request.path!r}; check the address'
+            )
+        wait_s = route.timeout_s
+        if request.deadline_s is not None:
+            wait_s = min(wait_s, request.deadline_s)
+        deadline_s = request.received_s + wait_s
+        work = Work(request, route, reply, deadline_s)
+        work.service = route.pick_service(self.rng.random())
+        self.budget.earn()
+        return work
+
+    async def _serve(self, work):
+        service = self.catalog.services.get(work.service)
+        if service is None:
+            raise self.no_server(work)
+        match work.route.kind:
+            case catalogs.Kind.STREAM:
+                return await generation.serve(self, work, service)
+            case _:
+                return await self._serve_plain(work, service)
+
+    def no_server(self, work):
+        """Return the refusal where no server is known or sound."""
+        return errors.NoBackend(
+            f'no server of {work.service} may take the request now; try again',
+            retry_after_s=self._retry_after_s(),
+        )
+
+    def _retry_after_s(self):
+        return self.rng.uniform(*RETRY_AFTER_S)
+
+    def servers(self, work):
+        """Return the servers that this request may be sent to now."""
+        now = time.monotonic()
+        found = self.registry.candidates(work.service, now)
+        return [
+            server
+            for server in self.outliers.sound(found, now)
+            if server.life not in work.tried
+        ]
+
+    # Plain requests.
+
+    async def _serve_plain(self, work, service):
+        while True:
+            server = await self.wait(
+                work, lambda: self._place_plain(work, service)
+            )
+            try:
+                outcome = await self._try_plain(work, server)
+            finally:
+                await self.wake(work.service)
+            self.log_attempt(work, server, outcome)
+            match outcome:
+                case sending.Whole(answer, body):
+                    if not self.is_worth_retry(work, answer):
+                        return await self.deliver(work, answer, body)
+                    self.next_try(work, server, outcome)
+                case _:
+                    self.next_try(work, server, outcome)
+
+    def _place_plain(self, work, service):
+        servers = self.servers(work)
+        if not servers:
+            raise self.no_server(work)
+        return self.placer.place_plain(
+            servers, service.max_connections, time.monotonic()
+        )
+
+    async def _try_plain(self, work, server):
+        may_repeat = work.route.is_repeatable
+        dispatch = self.dispatch(work, server)
+        work.sends += 1
+        was_run, work.may_have_run = work.may_have_run, True
+        wait_s = None
+        if may_repeat and work.sends < work.route.max_servers:
+            wait_s = max(MIN_TRY_S, work.left_s * TRY_SHARE)
+        try:
+            async with sending.within(wait_s):
+                outcome = await self.sender.call(
+                    work.request, dispatch, may_repeat
+                )
+        except curio.errors.TaskTimeout:
+            self.outliers.failed(server, time.monotonic())
+            return sending.Broken('silent')
+        if isinstance(outcome, (sending.Unreachable, sending.Refused)):
+            work.may_have_run = was_run
+        return outcome
+
+    def dispatch(self, work, server, **more):
+        """Return the `traffic.Dispatch` of this request to a server."""
+        return traffic.Dispatch(
+            server, work.left_s, priority=work.route.priority, **more
+        )
+
+    def is_worth_retry(self, work, answer):
+        """Say whether another server may do better than this failure."""
+        return (
+            answer.status >= 500
+            and work.route.is_repeatable
+            and work.sends < work.route.max_servers
+            and work.left_s > MIN_TRY_S
+            and self.budget.units >= 1.0
+        )
+
+    async def deliver(self, work, answer, body):
+        """Write a whole answer to the caller."""
+        await work.reply.respond(answer.status, answer.headers, body)
+        return 'whole' if answer.is_success else f'status_{answer.status}'
+
+    def log_attempt(self, work, server, outcome):
+        """Log an attempt that gave no answer."""
+        if isinstance(outcome, (sending.Whole, sending.Streamed)):
+            return
+        logs.event(
+            'attempt_failed',
+            request=work.request.request_id,
+            server=server.server_id,
+            outcome=type(outcome).__name__,
+            error=getattr(outcome, 'error', ''),
+            send=work.sends,
+            left_s=work.left_s,
+            budget=self.budget.units,
+        )
+
+    def next_try(self, work, server, outcome):
+        """Allow one more send, or raise why there is none."""
+        work.tried.add(server.life)
+        route = work.route
+        match outcome:
+            case sending.Unreachable():
+                work.unreached += 1
+                work.sends -= 1
+                if work.unreached > MAX_UNREACHED:
+                    raise self.no_server(work)
+                self.metrics.retried(metrics_module.Retry.CONNECT)
+                return
+            case sending.Refused():
+                if work.sends > MAX_UNREACHED or not self.budget.spend():
+                    raise self._refused(work)
+                self.metrics.retried(metrics_module.Retry.REFUSED)
+            case _:
+                if not route.is_repeatable or work.sends >= route.max_servers:
+                    raise _broken()
+                if not self.budget.spend():
+                    raise _broken()
+                self.metrics.retried(metrics_module.Retry.BROKEN)
+
+    def _refused(self, work):
+        if work.may_have_run:
+            return _broken()
+        return errors.BackendRefused(
+            f'the servers of {work.service} refused the request; try again',
+            retry_after_s=self._retry_after_s(),
+        )
+
+    # Waiting for a place.
+
+    async def wait(self, work, place):
+        """Return what ``place()`` finds, waiting while it finds None."""
+        route = work.route
+        line = self.lines.setdefault(work.service, waiting.Line(MAX_WAITING))
+        if line.is_first(route.priority):
+            found = place()
+            if found is not None:
+                return found
+        now = time.monotonic()
+        until_s = min(
+            work.request.received_s + WAIT_SHARE * route.target_s,
+            work.deadline_s,
+        )
+        ticket = line.join(route.priority, now, until_s)
+        if ticket is None:
+            raise self._overloaded(work)
+        try:
+            return await self._wait_in(line, ticket, place, work)
+        finally:
+            line.leave(ticket)
+            await self.wake(work.service)
+
+    async def _wait_in(self, line, ticket, place, work):
+        while True:
+            wait_s = ticket.until_s - time.monotonic()
+            if wait_s <= 0:
+                raise self._overloaded(work)
+            ticket.turn.clear()
+            if line.is_first(ticket.priority, ticket):
+                found = place()
+                if found is not None:
+                    return found
+            async with curio.ignore_after(wait_s):
+                await ticket.turn.wait()
+
+    async def wake(self, service):
+        """Let the first in line try again, as a place may be free."""
+        line = self.lines.get(service)
+        first = line and line.first()
+        if first:
+            await first.turn.set()
+
+    def _overloaded(self, work):
+        return errors.Overloaded(
+            f'every server of {work.service} is full; try again',
+            retry_after_s=self._retry_after_s(),
+        )
+
+
+def _late(work):
+    if work.may_have_run:
+        return errors.DeadlineExceeded(
+            'no answer came before the deadline; look up whether the request '
+            'took effect before repeating it',
+            run=errors.Run.UNKNOWN,
+        )
+    return errors.Overloaded(
+        'the deadline passed before the request was sent; try again'
+    )
+
+
+def _broken():
+    return errors.BackendBroken(
+        'the server broke off; look up whether the request took effect '
+        'before repeating it'
+    )
--- /dev/null
+++ b/src/mangorock/generation.py
@@ -0,0 +1,192 @@
+"""Serves generations: prefill, hand-over, the stream and its resumption.
+
+A long prompt is read on a prefill engine, which keeps its KV cache under a
+handle; the decode engine fetches it and streams.  Whatever fails before the
+decode has begun may be done again.  A stream that breaks goes on at another
+engine behind the last event that the caller has, where its route allows.
+"""
+
+import time
+
+import attrs
+import curio
+import curio.errors
+
+from mangorock import events
+from mangorock import metrics
+from mangorock import placement
+from mangorock import sending
+
+# A stream that may be resumed is given up when it was silent for so many
+# targets before its first event, or so many allowed pauses later.
+SILENT_TARGETS = 2.5
+SILENT_GAPS = 3.0
+MIN_SILENT_S = 0.6
+# A prefill that takes so many targets is tried elsewhere.
+PREFILL_TARGETS = 2.0
+MAX_PREFILLS = 2
+
+
+@attrs.define
+class Relay:
+    """Writes the events of one answer to the caller.
+
+    The head is that of the first server, whichever goes on later.
+    """
+
+    reply: object
+    splitter: events.EventSplitter
+    is_caller_gone: bool = False
+
+    async def feed(self, answer, data):
+        """Write whole events."""
+        try:
+            if not self.reply.is_started:
+                await self.reply.start(answer.status, answer.headers, data)
+            else:
+                await self.reply.send(data)
+        except OSError:
+            self.is_caller_gone = True
+            raise
+
+    async def end(self, answer):
+        """End the answer."""
+        if not self.reply.is_started:
+            await self.reply.start(answer.status, answer.headers)
+        await self.reply.end()
+
+
+@attrs.define
+class Generation:
+    """One generation on its way; ``gateway`` and ``work`` as elsewhere."""
+
+    gateway: object
+    work: object
+    service: object
+    relay: Relay
+    prefills: int = 0
+
+    async def run(self):
+        """Serve the request; return how it ended, for the log."""
+        gateway, work = self.gateway, self.work
+        while True:
+            placed = await gateway.wait(work, self._place)
+            try:
+                outcome = await self._attempt(placed)
+            finally:
+                await gateway.wake(work.service)
+            gateway.log_attempt(work, placed.decode, outcome)
+            match outcome:
+                case sending.Streamed(answer):
+                    await self.relay.end(answer)
+                    return 'whole'
+                case sending.Whole(answer, body):
+                    if self._is_final(answer):
+                        return await gateway.deliver(work, answer, body)
+            self.relay.splitter.restart()
+            gateway.next_try(work, placed.decode, outcome)
+
+    def _place(self):
+        gateway, work = self.gateway, self.work
+        servers = gateway.servers(work)
+        if not servers:
+            raise gateway.no_server(work)
+        if work.request.prompt is None:
+            server = gateway.placer.place_plain(
+                servers, self.service.max_connections, time.monotonic()
+            )
+            return server and placement.Placement(server)
+        return gateway.placer.place_generation(work.request.prompt, servers)
+
+    def _is_final(self, answer):
+        if self.relay.reply.is_started:
+            return False
+        return not self.gateway.is_worth_retry(self.work, answer)
+
+    async def _attempt(self, placed):
+        """Prefill where that was placed, then decode."""
+        handle = None
+        if placed.prefill is not None:
+            handle = await self._prefill(placed)
+        is_taken = False
+        try:
+            outcome = await self._decode(placed.decode, handle)
+            is_taken = isinstance(outcome, sending.Streamed)
+            return outcome
+        finally:
+            if handle is not None and not is_taken:
+                await curio.spawn(
+                    self.gateway.sender.free, handle, daemon=True
+                )
+
+    async def _prefill(self, placed):
+        """Return a `traffic.Handle`, or None to decode without one."""
+        gateway = self.gateway
+        # The place at the decode engine is held meanwhile.
+        gateway.placer.on_send(placed.decode)
+        try:
+            return await self._call_prefill(placed.prefill)
+        finally:
+            gateway.placer.on_end(placed.decode)
+
+    async def _call_prefill(self, server):
+        gateway, work = self.gateway, self.work
+        if self.prefills:
+            if self.prefills >= MAX_PREFILLS or not gateway.budget.spend():
+                return None
+            gateway.metrics.retried(metrics.Retry.PREFILL)
+        self.prefills += 1
+        dispatch = gateway.dispatch(work, server, is_prefill=True)
+        wait_s = PREFILL_TARGETS * work.route.target_s
+        try:
+            async with curio.timeout_after(wait_s):
+                outcome = await gateway.sender.call(
+                    work.request, dispatch, True
+                )
+        except curio.errors.TaskTimeout:
+            gateway.outliers.failed(server, time.monotonic())
+            outcome = sending.Broken('silent')
+        match outcome:
+            case sending.Whole(answer, body) if answer.is_success:
+                return gateway.wire.decode_handle(server.address, body)
+        work.tried.add(server.life)
+        gateway.log_attempt(work, server, outcome)
+        return None
+
+    async def _decode(self, server, handle):
+        gateway, work = self.gateway, self.work
+        if not gateway.registry.is_usable(server, time.monotonic()):
+            return sending.Unreachable('the server is leaving')
+        dispatch = gateway.dispatch(
+            work,
+            server,
+            handle=handle,
+            resume_after=self.relay.splitter.last_id,
+        )
+        work.sends += 1
+        was_run, work.may_have_run = work.may_have_run, True
+        outcome = await gateway.sender.stream(
+            work.request, dispatch, self.relay, self._patience()
+        )
+        if isinstance(outcome, (sending.Unreachable, sending.Refused)):
+            work.may_have_run = was_run
+        return outcome
+
+    def _patience(self):
+        route = self.work.route
+        can_resume = route.is_resumable and self.work.sends < route.max_servers
+        if not can_resume:
+            return sending.Patience(route.is_repeatable)
+        return sending.Patience(
+            True,
+            max(MIN_SILENT_S, SILENT_TARGETS * route.target_s),
+            max(MIN_SILENT_S, SILENT_GAPS * route.max_gap_s),
+        )
+
+
+async def serve(gateway, work, service):
+    """Serve a stream; return how it ended, for the log."""
+    splitter = events.EventSplitter(work.request.last_event_id)
+    relay = Relay(work.reply, splitter)
+    generation = Generation(gateway, work, service, relay)
+    return await generation.run()
--- /dev/null
+++ b/src/mangorock/ingress.py
@@ -0,0 +1,229 @@
+"""The callers' side of forwarding: reads requests, writes their answers.
+
+One task a connection reads a whole request, hands it to the handler and
+waits for the end of its answer.  A second task watches the caller meanwhile
+and cancels the first when the caller closes, so that the work at a backend
+server ends too.
+"""
+
+import socket
+import struct
+import time
+
+import attrs
+import curio
+import curio.errors
+import h11
+
+from mangorock import client
+from mangorock import errors
+from mangorock import logs
+
+# Ends a connection with a reset, so that a cut answer cannot look whole.
+LINGER_NONE = struct.pack('ii', 1, 0)
+CHUNKED = (b'transfer-encoding', b'chunked')
+MAX_PROBE_BYTES = 4096
+
+
+@attrs.frozen
+class RawRequest:
+    """A whole request as it was read; header names are lower case."""
+
+    method: str
+    target: str
+    headers: tuple
+    body: bytes
+    received_s: float
+
+
+class Reply:
+    """Writes the one answer to a request."""
+
+    def __init__(self, sock, conn, must_close):
+        self.sock = sock
+        self.conn = conn
+        self.must_close = must_close
+        self.is_started = False
+
+    async def respond(self, status, headers, body):
+        """Send a whole answer."""
+        head = [*headers, (b'content-length', str(len(body)).encode())]
+        data = self._head(status, head)
+        data += self.conn.send(h11.Data(data=body)) if body else b''
+        data += self.conn.send(h11.EndOfMessage())
+        await self.sock.sendall(data)
+
+    async def start(self, status, headers, data=b''):
+        """Send the head of a streamed answer and its first bytes."""
+        head = self._head(status, [*headers, CHUNKED])
+        await self.sock.sendall(head + self._data(data))
+
+    def _head(self, status, headers):
+        self.is_started = True
+        if self.must_close():
+            headers = [*headers, (b'connection', b'close')]
+        return self.conn.send(
+            h11.Response(status_code=status, headers=headers)
+        )
+
+    def _data(self, data):
+        return self.conn.send(h11.Data(data=data)) if data else b''
+
+    async def send(self, data):
+        """Send a part of a streamed answer."""
+        await self.sock.sendall(self._data(data))
+
+    async def end(self):
+        """End a streamed answer."""
+        await self.sock.sendall(self.conn.send(h11.EndOfMessage()))
+
+    def abort(self):
+        """Reset the connection: what was sent is not whole."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        self.conn.send_failed()
+
+
+class Ingress:
+    """Serves callers' connections.
+
+    ``handler(request, reply)`` is called for each `RawRequest`; ``limits``
+    returns the `catalog.CallerLimits` in force; ``refuse(error)`` returns
+    (status, headers, body) for a request that cannot be read.
+    """
+
+    def __init__(self, handler, limits, refuse):
+        self.handler = handler
+        self.limits = limits
+        self.refuse = refuse
+        self.is_stopping = False
+        self.in_flight = 0
+        self.connections = {}
+
+    async def serve(self, sock):
+        """Accept connections for ever; cancel the task to stop."""
+        async with sock:
+            while True:
+                try:
+                    accepted, _ = await sock.accept()
+                except OSError as exc:
+                    logs.warning('accept_failed', error=repr(exc))
+                    await curio.sleep(0.05)
+                    continue
+                client.set_options(accepted)
+                await curio.spawn(self._serve_one, accepted, daemon=True)
+
+    async def _serve_one(self, sock):
+        task = await curio.current_task()
+        conn = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self.limits().max_head_bytes
+        )
+        self.connections[task] = conn
+        try:
+            async with sock:
+                while await self._serve_request(task, sock, conn):
+                    conn.start_next_cycle()
+        except (OSError, curio.errors.TaskTimeout) as exc:
+            logs.debug('connection_ended', error=repr(exc))
+        finally:
+            del self.connections[task]
+
+    async def _serve_request(self, task, sock, conn):
+        """Serve one request; return whether another may follow."""
+        reply = Reply(sock, conn, lambda: self.is_stopping)
+        try:
+            request = await self._read(sock, conn)
+        except h11.RemoteProtocolError as exc:
+            error = errors.BadRequest(f'malformed HTTP: {exc}; mend it')
+            return await self._refuse(reply, error)
+        except errors.MangorockError as exc:
+            return await self._refuse(reply, exc)
+        if request is None:
+            return False
+        self.in_flight += 1
+        watcher = await curio.spawn(_watch_caller, sock, task, daemon=True)
+        try:
+            await self.handler(request, reply)
+        finally:
+            self.in_flight -= 1
+            await watcher.cancel()
+        return conn.our_state is h11.DONE and conn.their_state is h11.DONE
+
+    async def _refuse(self, reply, error):
+        logs.event('request_refused', reason=error.reason.value)
+        if reply.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            status, headers, body = self.refuse(error)
+            headers = [*headers, (b'connection', b'close')]
+            await reply.respond(status, headers, body)
+        return False
+
+    async def _read(self, sock, conn):
+        """Return the next `RawRequest`, or None when the caller closed."""
+        limits = self.limits()
+        head, body = None, bytearray()
+        while True:
+            event = conn.next_event()
+            match event:
+                case h11.Request():
+                    head = event
+                    check_framing(head)
+                case h11.Data():
+                    body += event.data
+                    if len(body) > limits.max_body_bytes:
+                        raise errors.TooLarge(
+                            f'the body is over {limits.max_body_bytes} '
+                            'bytes; send a smaller one'
+                        )
+                case h11.EndOfMessage():
+                    return _make_request(head, bytes(body))
+                case h11.ConnectionClosed() | h11.PAUSED:
+                    return None
+                case h11.NEED_DATA:
+                    await self._receive(sock, conn, head, limits)
+
+    async def _receive(self, sock, conn, head, limits):
+        if conn.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await sock.sendall(conn.send(go_on))
+        is_begun = head is not None or conn.trailing_data[0]
+        wait_s = limits.head_timeout_s if is_begun else limits.idle_timeout_s
+        async with curio.timeout_after(wait_s):
+            conn.receive_data(await sock.recv(client.READ_BYTES))
+
+    async def close_idle(self):
+        """Close the connections on which no request is being served."""
+        for task, conn in list(self.connections.items()):
+            if conn.our_state is h11.IDLE:
+                await task.cancel(blocking=False)
+
+
+def check_framing(head):
+    """Refuse a request whose end two headers tell differently.
+
+    A server behind another reading of it would take a part of the body for
+    a request of its own.  Raises `errors.BadRequest`.
+    """
+    names = [name for name, _ in head.headers]
+    if b'content-length' in names and b'transfer-encoding' in names:
+        raise errors.BadRequest(
+            'both Content-Length and Transfer-Encoding are given; send one'
+        )
+
+
+def _make_request(head, body):
+    return RawRequest(
+        head.method.decode('ascii'),
+        head.target.decode('latin-1'),
+        tuple(head.headers),
+        body,
+        time.monotonic(),
+    )
+
+
+async def _watch_caller(sock, task):
+    """Cancel ``task`` when the caller closes its connection."""
+    try:
+        if await sock.recv(1, socket.MSG_PEEK):
+            return
+    except OSError as exc:
+        logs.debug('caller_lost', error=repr(exc))
+    await task.cancel(blocking=False)
--- a/src/mangorock/limits.py
+++ b/src/mangorock/limits.py
@@ -34,10 +34,12 @@
     """
 
     units: float = RETRY_BURST
+    burst: float = RETRY_BURST
+    share: float = RETRY_SHARE
 
     def earn(self):
         """Credit one request."""
-        self.units = min(RETRY_BURST, self.units + RETRY_SHARE)
+        self.units = min(self.burst, self.units + self.share)
 
     def spend(self):
         """Take one retry; return whether it was covered."""
--- a/src/mangorock/logs.py
+++ b/src/mangorock/logs.py
@@ -6,10 +6,19 @@
     # event=request_done request=r1 status=200
 """
 
+import logging as standard_logging
+import os
 import re
+import time
+import traceback
 
 from absl import logging
 
+# Bytes that may wait for a slow reader of the logs.
+MAX_WAITING_BYTES = 262144
+# Lines of one second beyond which only warnings are written.
+MAX_LINES_PER_S = 400
+
 _PLAIN = re.compile(r'[A-Za-z0-9_.:/@+-]+')
 
 
@@ -32,11 +41,80 @@
     return f'"{escaped}"'
 
 
+class BoundedHandler(standard_logging.Handler):
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    What the reader does not take waits in a bounded buffer; lines beyond
+    that, and beyond `MAX_LINES_PER_S`, are dropped and counted in a line of
+    their own.
+    """
+
+    def __init__(self, descriptor):
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self.descriptor = descriptor
+        self.waiting = b''
+        self.dropped = 0
+        self.second = 0
+        self.lines = 0
+
+    def emit(self, record):
+        """Write or drop one line."""
+        second = int(record.created)
+        if second != self.second:
+            self._start_second(second)
+        self.lines += 1
+        is_urgent = record.levelno >= standard_logging.WARNING
+        is_over = self.lines > MAX_LINES_PER_S and not is_urgent
+        if is_over or len(self.waiting) > MAX_WAITING_BYTES:
+            self.dropped += 1
+            return
+        stamp = time.strftime('%H:%M:%S', time.gmtime(record.created))
+        line = f'{stamp}.{int(record.msecs):03d} {record.getMessage()}\n'
+        self._write(line.encode())
+
+    def _start_second(self, second):
+        self.second, self.lines = second, 0
+        if self.dropped:
+            self._write(f'event=lines_dropped lines={self.dropped}\n'.encode())
+            self.dropped = 0
+
+    def _write(self, data):
+        data = self.waiting + data
+        try:
+            written = os.write(self.descriptor, data)
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            # Nobody reads any more, and there is nowhere else to say so.
+            written = len(data)
+        self.waiting = data[written:]
+
+
+def to_stdout():
+    """Send every line to standard output, bounded and never waiting."""
+    logger = logging.get_absl_logger()
+    logger.handlers = [BoundedHandler(1)]
+    logger.propagate = False
+    logging.set_verbosity(logging.INFO)
+
+
 def event(name, **fields):
     """Log an ordinary event."""
     logging.info('%s', render(name, fields))
 
 
+def debug(name, **fields):
+    """Log an event that only a developer may want to look at."""
+    logging.debug('%s', render(name, fields))
+
+
 def warning(name, **fields):
     """Log an event that an operator may want to look at."""
     logging.warning('%s', render(name, fields))
+
+
+def exception(name, **fields):
+    """Log the exception being handled, with where it came from."""
+    trace = traceback.format_exc(limit=-4).replace('\n', ' | ')
+    warning(name, trace=trace, **fields)
--- a/src/mangorock/metrics.py
+++ b/src/mangorock/metrics.py
@@ -17,6 +17,8 @@
     CONNECT = 'connect'
     REFUSED = 'refused'
     BROKEN_STREAM = 'broken_stream'
+    BROKEN = 'broken'
+    PREFILL = 'prefill'
 
 
 class Metrics:
--- /dev/null
+++ b/src/mangorock/mirror.py
@@ -0,0 +1,191 @@
+"""Follows the keys under one prefix of the platform's store.
+
+`Mirror` is the state machine, without sockets or clocks: it says which call
+comes next and takes in what came of it.  It lists the prefix page by page,
+then watches from the revision of the first page, since pages are no
+snapshot.  A watch whose history is gone starts a new listing; any other
+failure is tried again from the same revision after a pause that grows.
+
+`follow` is the loop around it.
+"""
+
+import time
+
+import attrs
+import curio
+
+from mangorock import errors
+from mangorock import logs
+
+WATCH_WAIT_S = 15.0  # Half of the longest wait that the store grants.
+MIN_PAUSE_S = 0.1  # First pause after a failure.
+MAX_PAUSE_S = 1.0  # Keeps a returning store known within a second.
+
+
+@attrs.frozen
+class Item:
+    """A key as it was written; ``value`` is bytes."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@attrs.frozen
+class Removal:
+    """A key that is gone since ``revision``."""
+
+    key: str
+    revision: int
+
+
+@attrs.frozen
+class Page:
+    """A part of a listing at the store's ``revision``."""
+
+    items: tuple
+    has_more: bool
+    revision: int
+
+
+@attrs.frozen
+class Changes:
+    """What a watch told: `Item` and `Removal`, in order."""
+
+    events: tuple
+    revision: int
+
+
+class HistoryLost(Exception):
+    """The store no longer has the history that a watch asked for."""
+
+
+@attrs.frozen
+class ListPage:
+    """The next call lists ``prefix`` behind the key ``after``."""
+
+    prefix: str
+    after: str
+
+
+@attrs.frozen
+class Watch:
+    """The next call watches ``prefix`` from ``revision`` on."""
+
+    prefix: str
+    revision: int
+
+
+@attrs.define
+class Mirror:
+    """The state of one prefix; ``is_synced`` after the first listing."""
+
+    prefix: str
+    revision: int = 0
+    is_listing: bool = True
+    is_synced: bool = False
+    page_after: str = ''
+    first_revision: int | None = None
+    listed: list = attrs.field(factory=list)
+    pause_s: float = 0.0
+
+    def next_call(self):
+        """Return a `ListPage` or a `Watch`."""
+        if self.is_listing:
+            return ListPage(self.prefix, self.page_after)
+        return Watch(self.prefix, self.revision)
+
+    def on_page(self, page):
+        """Take a page; return the whole listing after the last one."""
+        self.pause_s = 0.0
+        if self.first_revision is None:
+            self.first_revision = page.revision
+        self.listed += page.items
+        if page.has_more and page.items:
+            self.page_after = page.items[-1].key
+            return None
+        listing = tuple(self.listed)
+        self.revision = self.first_revision
+        self._restart()
+        self.is_listing = False
+        self.is_synced = True
+        return listing
+
+    def on_changes(self, changes):
+        """Take the events of a watch and return them."""
+        self.pause_s = 0.0
+        self.revision = max(self.revision, changes.revision)
+        return changes.events
+
+    def on_history_lost(self):
+        """List again, as events are missing."""
+        self._restart()
+        self.is_listing = True
+
+    def on_failure(self, jitter):
+        """Return the pause in seconds; ``jitter`` is in [0, 1)."""
+        grown_s = max(MIN_PAUSE_S, 2 * self.pause_s)
+        self.pause_s = min(MAX_PAUSE_S, grown_s)
+        if self.is_listing:
+            self._restart()
+        return self.pause_s * (0.5 + 0.5 * jitter)
+
+    def _restart(self):
+        self.page_after = ''
+        self.first_revision = None
+        self.listed = []
+
+
+async def follow(mirror, store, take_listing, take_events, rng):
+    """Run the calls of ``mirror`` for ever.
+
+    ``store`` has ``list_page(prefix, after)`` and ``watch(prefix,
+    revision, wait_s)``, which raise `errors.PlatformUnavailable` and
+    `HistoryLost`.  ``take_listing(items)`` gets each whole listing,
+    ``take_events(events)`` each batch of changes.
+    """
+    lost_s = None
+    while True:
+        try:
+            await _step(mirror, store, take_listing, take_events)
+            if lost_s is not None:
+                away_s = time.monotonic() - lost_s
+                logs.event(
+                    'store_regained', prefix=mirror.prefix, away_s=away_s
+                )
+                lost_s = None
+        except HistoryLost:
+            logs.event(
+                'store_history_lost',
+                prefix=mirror.prefix,
+                revision=mirror.revision,
+            )
+            mirror.on_history_lost()
+        except errors.PlatformUnavailable as exc:
+            if lost_s is None:
+                lost_s = time.monotonic()
+                logs.warning(
+                    'store_lost',
+                    prefix=mirror.prefix,
+                    revision=mirror.revision,
+                    error=exc.message,
+                )
+            await curio.sleep(mirror.on_failure(rng.random()))
+
+
+async def _step(mirror, store, take_listing, take_events):
+    call = mirror.next_call()
+    match call:
+        case ListPage():
+            listing = mirror.on_page(
+                await store.list_page(call.prefix, call.after)
+            )
+            if listing is not None:
+                take_listing(listing)
+        case Watch():
+            changes = await store.watch(
+                call.prefix, call.revision, WATCH_WAIT_S
+            )
+            events = mirror.on_changes(changes)
+            if events:
+                take_events(events)
--- /dev/null
+++ b/src/mangorock/registry.py
@@ -0,0 +1,115 @@
+"""The backend servers that may be used, as their register says.
+
+The register is written by the servers themselves and read late.  Three
+patterns are answered here.  An entry of an earlier life, or an older one of
+this life, arrives after a newer one and is ignored.  Entries lapse while the
+register was away and come back a moment later: a lapsed server stays usable
+for `LAPSE_GRACE_S` where its service has no other.  A draining server gets
+nothing new from the moment that its entry says so.
+"""
+
+import enum
+
+import attrs
+
+# Shorter than the time for which a server that left without notice goes on
+# serving, so that the last resort never sends to one that has ended.
+LAPSE_GRACE_S = 1.5
+
+
+class Stage(enum.Enum):
+    """What an engine does: only prefill, or decode with its own prefill."""
+
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+
+
+@attrs.frozen
+class BackendServer:
+    """One life of a backend server.
+
+    ``born_ms`` is the Unix millisecond of its start, ``sequence`` grows
+    with each report of that life, ``stage`` is None for plain servers.
+    """
+
+    server_id: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    born_ms: int = 0
+    sequence: int = 0
+    is_draining: bool = False
+    stage: Stage | None = None
+
+    @property
+    def life(self):
+        """Return what distinguishes this life from any other."""
+        return self.server_id, self.born_ms
+
+
+@attrs.define
+class Registry:
+    """Keeps the newest entry of each server; a state machine."""
+
+    servers: dict = attrs.field(factory=dict)
+    lapsed_s: dict = attrs.field(factory=dict)
+
+    def put(self, server):
+        """Take an entry; return whether it is news."""
+        known = self.servers.get(server.server_id)
+        if known is not None and _is_older(server, known):
+            return False
+        self.servers[server.server_id] = server
+        self.lapsed_s.pop(server.server_id, None)
+        return server != known
+
+    def remove(self, server_id, now):
+        """Note that an entry is gone since ``now``."""
+        if server_id in self.servers:
+            self.lapsed_s.setdefault(server_id, now)
+
+    def replace(self, servers, now):
+        """Take a whole listing; entries that it lacks have lapsed."""
+        listed = set()
+        for server in servers:
+            listed.add(server.server_id)
+            self.put(server)
+        for server_id in self.servers.keys() - listed:
+            self.remove(server_id, now)
+
+    def forget(self, now):
+        """Drop and return the ids of entries lapsed for longer."""
+        gone = [
+            server_id
+            for server_id, since_s in self.lapsed_s.items()
+            if now - since_s > LAPSE_GRACE_S
+        ]
+        for server_id in gone:
+            del self.lapsed_s[server_id]
+            del self.servers[server_id]
+        return gone
+
+    def is_usable(self, server, now):
+        """Say whether new work may still be sent to this life."""
+        known = self.servers.get(server.server_id)
+        if known is None or known.life != server.life or known.is_draining:
+            return False
+        since_s = self.lapsed_s.get(server.server_id)
+        return since_s is None or now - since_s <= LAPSE_GRACE_S
+
+    def candidates(self, service, now):
+        """Return the servers of ``service`` that may get new work."""
+        mine = [
+            server
+            for server in self.servers.values()
+            if server.service == service and self.is_usable(server, now)
+        ]
+        present = [s for s in mine if s.server_id not in self.lapsed_s]
+        return present or mine
+
+
+def _is_older(server, known):
+    if server.born_ms != known.born_ms:
+        return server.born_ms < known.born_ms
+    return server.sequence < known.sequence
