Prefill engines fetch what the decode engine keeps

Change: a prefill names the document's decode engine to fetch from, and is given the time that is left instead of two targets, after which it was read once more by the decode engine.

--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -125,19 +125,23 @@
         # The place at the decode engine is held meanwhile.
         gateway.placer.on_send(placed.decode)
         try:
-            return await self._call_prefill(placed.prefill)
+            return await self._call_prefill(placed.prefill, placed.decode)
         finally:
             gateway.placer.on_end(placed.decode)
 
-    async def _call_prefill(self, server):
+    async def _call_prefill(self, server, decode):
         gateway, work = self.gateway, self.work
         if self.prefills:
             if self.prefills >= MAX_PREFILLS or not gateway.budget.spend():
                 return None
             gateway.metrics.retried(metrics.Retry.PREFILL)
         self.prefills += 1
-        dispatch = gateway.dispatch(work, server, is_prefill=True)
-        wait_s = PREFILL_TARGETS * work.route.target_s
+        dispatch = gateway.dispatch(
+            work, server, is_prefill=True, fetch_from=decode.address
+        )
+        wait_s = max(
+            PREFILL_TARGETS * work.route.target_s, work.left_s - 0.3
+        )
         try:
             async with curio.timeout_after(wait_s):
                 outcome = await gateway.sender.call(
