Prompts are read where they are expected to be read first

Cause: in bursts of stock queries the decode engines read them at half speed between the tokens of others while the prefill engines idled, and in bursts of reviews the reverse. Change: the place of reading is chosen by the tokens that this VM has outstanding at each engine, bounded by tokens instead of requests.

--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -27,6 +27,23 @@
 MAX_PREFILLS = 2
 
 
+@attrs.define
+class Reading:
+    """Counts the tokens that an engine has yet to read, until `end`."""
+
+    placer: object
+    server: object
+    tokens: int
+
+    def __attrs_post_init__(self):
+        self.placer.on_read(self.server, self.tokens)
+
+    def end(self):
+        """Count them out; may be called twice."""
+        self.placer.on_read(self.server, -self.tokens)
+        self.tokens = 0
+
+
 @attrs.define
 class Relay:
     """Writes the events of one answer to the caller.
@@ -37,9 +54,11 @@
     reply: object
     splitter: events.EventSplitter
     is_caller_gone: bool = False
+    reading: object = None
 
     async def feed(self, answer, data):
-        """Write whole events."""
+        """Write whole events; the first one says that the prompt is read."""
+        self.reading.end()
         try:
             if not self.reply.is_started:
                 await self.reply.start(answer.status, answer.headers, data)
@@ -65,6 +84,7 @@
     service: object
     relay: Relay
     prefills: int = 0
+    reading: Reading | None = None
 
     async def run(self):
         """Serve the request; return how it ended, for the log."""
@@ -106,14 +126,21 @@
     async def _attempt(self, placed):
         """Prefill where that was placed, then decode."""
         handle = None
-        if placed.prefill is not None:
-            handle = await self._prefill(placed)
+        reader = placed.prefill or placed.decode
+        self.reading = Reading(self.gateway.placer, reader, placed.tokens)
         is_taken = False
         try:
+            if placed.prefill is not None:
+                handle = await self._prefill(placed)
+                self.reading.end()
+                if handle is None:
+                    return sending.Unreachable('no prefill')
+            self.relay.reading = self.reading
             outcome = await self._decode(placed.decode, handle)
             is_taken = isinstance(outcome, sending.Streamed)
             return outcome
         finally:
+            self.reading.end()
             if handle is not None and not is_taken:
                 await curio.spawn(
                     self.gateway.sender.free, handle, daemon=True
@@ -139,9 +166,7 @@
         dispatch = gateway.dispatch(
             work, server, is_prefill=True, fetch_from=decode.address
         )
-        wait_s = max(
-            PREFILL_TARGETS * work.route.target_s, work.left_s - 0.3
-        )
+        wait_s = max(PREFILL_TARGETS * work.route.target_s, work.left_s - 0.3)
         try:
             async with curio.timeout_after(wait_s):
                 outcome = await gateway.sender.call(
--- a/src/mangorock/placement.py
+++ b/src/mangorock/placement.py
@@ -23,7 +23,13 @@
 # Requests in flight at one engine from all entry VMs together; from runs
 # on the users' bench (see docs/MEASUREMENTS.md).
 PREFILL_PLACES = 16
-DECODE_PLACES = 32
+DECODE_PLACES = 64
+PREFILL_READING_TOKENS = 30000
+DECODE_READING_TOKENS = 8000
+PREFILL_TOKENS_PER_S = 48000
+DECODE_TOKENS_PER_S = 24000
+HANDOVER_S = 0.01
+OTHERS_SHARE = 0.5
 # How long a load that a server told counts.
 REPORT_VALID_S = 1.0
 # A server in another failure domain must be this much better.
@@ -37,6 +43,7 @@
     """What this VM knows of the load of one life of a server."""
 
     in_flight: int = 0
+    reading: int = 0
     latency_s: float = 0.0
     report: object = None
     reported_s: float = 0.0
@@ -48,6 +55,7 @@
 
     decode: registry.BackendServer
     prefill: registry.BackendServer | None = None
+    tokens: int = 0
 
     @property
     def servers(self):
@@ -79,6 +87,10 @@
         """Count a request to a server."""
         self.load(server).in_flight += 1
 
+    def on_read(self, server, tokens):
+        """Count the tokens that a server has to read, or has read."""
+        self.load(server).reading += tokens
+
     def on_end(self, server):
         """Count a request out."""
         self.load(server).in_flight -= 1
@@ -126,27 +138,48 @@
         return cost if is_near else cost * FAR_PENALTY
 
     def place_generation(self, prompt, servers):
-        """Return a `Placement`, or None when the engines are full."""
+        """Return a `Placement`, or None when the engines are full.
+
+        The engine that decodes is the same for all prompts with the same
+        shared part, as it keeps that part; the prompt is read there or on
+        the prefill engine that is expected to be done first.
+        """
         key = prompt.shared_key or (prompt.parts and prompt.parts[-1].part_id)
-        is_long = prompt.tokens >= HANDOVER_TOKENS
-        decode = self._pick(
-            servers, registry.Stage.DECODE, DECODE_PLACES, key, is_long
-        )
+        tokens = prompt.tokens
+        is_long = tokens >= HANDOVER_TOKENS
+        if is_long:
+            tokens -= prompt.shared_tokens
+        decode = self._pick_decode(servers, key, is_long)
         if decode is None:
             return None
-        if not is_long or not _has_stage(servers, registry.Stage.PREFILL):
-            return Placement(decode)
-        prefill = self._pick(
-            servers, registry.Stage.PREFILL, PREFILL_PLACES, key, True
-        )
-        return prefill and Placement(decode, prefill)
-
-    def _pick(self, servers, stage, places, key, is_affine):
-        limit = self._share(places)
+        prefill = self._pick_prefill(servers, key)
+        direct_s = self._read_s(decode, tokens, DECODE_TOKENS_PER_S)
+        if prefill is not None:
+            apart_s = self._read_s(prefill, tokens, PREFILL_TOKENS_PER_S)
+            if apart_s + HANDOVER_S < direct_s and self._may_read(
+                prefill, tokens, PREFILL_READING_TOKENS
+            ):
+                return Placement(decode, prefill, tokens)
+        if self._may_read(decode, tokens, DECODE_READING_TOKENS):
+            return Placement(decode, None, tokens)
+        return None
+
+    def _read_s(self, server, tokens, tokens_per_s):
+        """Return the expected seconds until ``tokens`` more are read."""
+        others = self.load(server).reading * self.vms * OTHERS_SHARE
+        return (others + tokens) / tokens_per_s
+
+    def _may_read(self, server, tokens, limit):
+        reading = self.load(server).reading
+        return not reading or reading + tokens <= limit / self.vms
+
+    def _pick_decode(self, servers, key, is_affine):
+        limit = self._share(DECODE_PLACES)
         free = [
             server
             for server in servers
-            if _is_at(server, stage) and self.load(server).in_flight < limit
+            if _is_at(server, registry.Stage.DECODE)
+            and self.load(server).in_flight < limit
         ]
         if not free:
             return None
@@ -155,14 +188,23 @@
         return min(
             free,
             key=lambda server: (
+                self.load(server).reading,
                 self.load(server).in_flight,
                 _weight(key, server),
             ),
         )
 
-
-def _has_stage(servers, stage):
-    return any(_is_at(server, stage) for server in servers)
+    def _pick_prefill(self, servers, key):
+        free = [s for s in servers if _is_at(s, registry.Stage.PREFILL)]
+        if not free:
+            return None
+        return min(
+            free,
+            key=lambda server: (
+                self.load(server).reading,
+                _weight(key, server),
+            ),
+        )
 
 
 def _is_at(server, stage):
