Ways to read a prompt are compared by time, engines with long pauses spared

Cause: ties in load sent all VMs to the first engine of the list; a review that found its document's engine full was read whole elsewhere; decode engines that read many prompts at once stretched the pauses of running streams. Change: all pairs of decode engine and way to read are ranked by expected time, then load, then a hash; a read elsewhere fetches from the document's engine; an engine whose streams pause longer than the route allows reads no prompts itself.

--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -55,6 +55,14 @@
     sends: int = 0
     unreached: int = 0
     may_have_run: bool = False
+    placed_s: float = 0.0
+    read_s: float = 0.0
+    first_s: float = 0.0
+    servers: str = ''
+
+    def since_received(self, moment_s):
+        """Return the seconds until a moment, -1 if it never came."""
+        return moment_s - self.request.received_s if moment_s else -1
 
     @property
     def left_s(self):
@@ -128,13 +136,26 @@
     def _account(self, raw, work, end):
         seconds = time.monotonic() - raw.received_s
         self.metrics.timing('request', seconds)
+        if work is None:
+            logs.event(
+                'request_done',
+                target=raw.target,
+                end=end,
+                seconds=seconds,
+                config=self.catalog.version,
+            )
+            return
         logs.event(
             'request_done',
-            request=work.request.request_id if work else '',
-            route=work.route.name if work else '',
+            request=work.request.request_id,
+            route=work.route.name,
             end=end,
-            sends=work.sends if work else 0,
             seconds=seconds,
+            placed_s=work.since_received(work.placed_s),
+            read_s=work.since_received(work.read_s),
+            first_s=work.since_received(work.first_s),
+            sends=work.sends,
+            servers=work.servers,
             config=self.catalog.version,
         )
 
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -29,18 +29,18 @@
 
 @attrs.define
 class Reading:
-    """Counts the tokens that an engine has yet to read, until `end`."""
+    """A prompt that an engine reads, counted there until `end`."""
 
     placer: object
     server: object
     tokens: int
 
     def __attrs_post_init__(self):
-        self.placer.on_read(self.server, self.tokens)
+        self.placer.on_reading(self.server, self.tokens)
 
     def end(self):
-        """Count them out; may be called twice."""
-        self.placer.on_read(self.server, -self.tokens)
+        """Count the prompt out, however it ended; may be called twice."""
+        self.placer.on_reading(self.server, -self.tokens)
         self.tokens = 0
 
 
@@ -51,14 +51,28 @@
     The head is that of the first server, whichever goes on later.
     """
 
+    work: object
     reply: object
     splitter: events.EventSplitter
     is_caller_gone: bool = False
     reading: object = None
+    placer: object = None
+    server: object = None
+    last_s: float = 0.0
+
+    def follow(self, placer, server, reading):
+        """Go on with the events of a server."""
+        self.placer, self.server, self.reading = placer, server, reading
+        self.last_s = 0.0
 
     async def feed(self, answer, data):
         """Write whole events; the first one says that the prompt is read."""
+        now = time.monotonic()
         self.reading.end()
+        self.work.first_s = self.work.first_s or now
+        if self.last_s:
+            self.placer.on_gap(self.server, now - self.last_s, now)
+        self.last_s = now
         try:
             if not self.reply.is_started:
                 await self.reply.start(answer.status, answer.headers, data)
@@ -91,6 +105,8 @@
         gateway, work = self.gateway, self.work
         while True:
             placed = await gateway.wait(work, self._place)
+            work.placed_s = time.monotonic()
+            work.servers = '+'.join(s.server_id for s in placed.servers)
             try:
                 outcome = await self._attempt(placed)
             finally:
@@ -116,7 +132,17 @@
                 servers, self.service.max_connections, time.monotonic()
             )
             return server and placement.Placement(server)
-        return gateway.placer.place_generation(work.request.prompt, servers)
+        return gateway.placer.place_generation(
+            self._demand(), servers, time.monotonic()
+        )
+
+    def _demand(self):
+        prompt = self.work.request.prompt
+        tokens = prompt.tokens
+        if prompt.shared_tokens >= placement.HANDOVER_TOKENS:
+            # Some engine keeps a shared part of this size.
+            tokens -= prompt.shared_tokens
+        return placement.Demand(prompt, tokens, self.work.route.max_gap_s)
 
     def _is_final(self, answer):
         if self.relay.reply.is_started:
@@ -126,17 +152,19 @@
     async def _attempt(self, placed):
         """Prefill where that was placed, then decode."""
         handle = None
+        placer = self.gateway.placer
         reader = placed.prefill or placed.decode
-        self.reading = Reading(self.gateway.placer, reader, placed.tokens)
+        self.reading = Reading(placer, reader, placed.tokens)
         is_taken = False
         try:
             if placed.prefill is not None:
                 handle = await self._prefill(placed)
-                self.reading.end()
+                self.work.read_s = time.monotonic()
                 if handle is None:
                     return sending.Unreachable('no prefill')
-            self.relay.reading = self.reading
-            outcome = await self._decode(placed.decode, handle)
+                self.reading.end()
+            self.relay.follow(placer, placed.decode, self.reading)
+            outcome = await self._decode(placed, handle)
             is_taken = isinstance(outcome, sending.Streamed)
             return outcome
         finally:
@@ -152,11 +180,11 @@
         # The place at the decode engine is held meanwhile.
         gateway.placer.on_send(placed.decode)
         try:
-            return await self._call_prefill(placed.prefill, placed.decode)
+            return await self._call_prefill(placed.prefill, placed.home)
         finally:
             gateway.placer.on_end(placed.decode)
 
-    async def _call_prefill(self, server, decode):
+    async def _call_prefill(self, server, home):
         gateway, work = self.gateway, self.work
         if self.prefills:
             if self.prefills >= MAX_PREFILLS or not gateway.budget.spend():
@@ -164,7 +192,7 @@
             gateway.metrics.retried(metrics.Retry.PREFILL)
         self.prefills += 1
         dispatch = gateway.dispatch(
-            work, server, is_prefill=True, fetch_from=decode.address
+            work, server, is_prefill=True, fetch_from=home.address
         )
         wait_s = max(PREFILL_TARGETS * work.route.target_s, work.left_s - 0.3)
         try:
@@ -182,14 +210,17 @@
         gateway.log_attempt(work, server, outcome)
         return None
 
-    async def _decode(self, server, handle):
+    async def _decode(self, placed, handle):
         gateway, work = self.gateway, self.work
+        server, home = placed.decode, placed.home
+        is_strange = handle is None and home not in (None, server)
         if not gateway.registry.is_usable(server, time.monotonic()):
             return sending.Unreachable('the server is leaving')
         dispatch = gateway.dispatch(
             work,
             server,
             handle=handle,
+            fetch_from=home.address if is_strange else '',
             resume_after=self.relay.splitter.last_id,
         )
         work.sends += 1
@@ -216,6 +247,6 @@
 async def serve(gateway, work, service):
     """Serve a stream; return how it ended, for the log."""
     splitter = events.EventSplitter(work.request.last_event_id)
-    relay = Relay(work.reply, splitter)
+    relay = Relay(work, work.reply, splitter)
     generation = Generation(gateway, work, service, relay)
     return await generation.run()
--- a/src/mangorock/placement.py
+++ b/src/mangorock/placement.py
@@ -25,11 +25,16 @@
 PREFILL_PLACES = 16
 DECODE_PLACES = 64
 PREFILL_READING_TOKENS = 30000
-DECODE_READING_TOKENS = 8000
+DECODE_READING_TOKENS = 16000
 PREFILL_TOKENS_PER_S = 48000
 DECODE_TOKENS_PER_S = 24000
 HANDOVER_S = 0.01
 OTHERS_SHARE = 0.5
+GAPS = 1.0
+GAP_WEIGHT = 0.3
+GAP_SHARE = 1.0
+PLACE_S = 0.002
+STRANGE_S = 1.0
 # How long a load that a server told counts.
 REPORT_VALID_S = 1.0
 # A server in another failure domain must be this much better.
@@ -44,11 +49,22 @@
 
     in_flight: int = 0
     reading: int = 0
+    gap_s: float = 0.0
+    gap_at_s: float = 0.0
     latency_s: float = 0.0
     report: object = None
     reported_s: float = 0.0
 
 
+@attrs.frozen
+class Demand:
+    """What a generation asks of an engine."""
+
+    prompt: object
+    tokens_to_read: int
+    max_gap_s: float
+
+
 @attrs.frozen
 class Placement:
     """Where a generation runs; ``prefill`` is None without a hand-over."""
@@ -56,6 +72,7 @@
     decode: registry.BackendServer
     prefill: registry.BackendServer | None = None
     tokens: int = 0
+    home: registry.BackendServer | None = None
 
     @property
     def servers(self):
@@ -87,10 +104,6 @@
         """Count a request to a server."""
         self.load(server).in_flight += 1
 
-    def on_read(self, server, tokens):
-        """Count the tokens that a server has to read, or has read."""
-        self.load(server).reading += tokens
-
     def on_end(self, server):
         """Count a request out."""
         self.load(server).in_flight -= 1
@@ -137,74 +150,104 @@
         is_near = server.failure_domain == self.failure_domain
         return cost if is_near else cost * FAR_PENALTY
 
-    def place_generation(self, prompt, servers):
+    def place_generation(self, request, servers, now):
         """Return a `Placement`, or None when the engines are full.
 
-        The engine that decodes is the same for all prompts with the same
-        shared part, as it keeps that part; the prompt is read there or on
-        the prefill engine that is expected to be done first.
+        All pairs of a decode engine and a way to read the prompt are
+        compared by the time to the first event and the pauses behind it.
         """
-        key = prompt.shared_key or (prompt.parts and prompt.parts[-1].part_id)
-        tokens = prompt.tokens
-        is_long = tokens >= HANDOVER_TOKENS
-        if is_long:
-            tokens -= prompt.shared_tokens
-        decode = self._pick_decode(servers, key, is_long)
-        if decode is None:
+        decodes = [s for s in servers if _is_at(s, registry.Stage.DECODE)]
+        prefills = [s for s in servers if _is_at(s, registry.Stage.PREFILL)]
+        home = self._home(request.prompt, decodes)
+        found = []
+        for decode in decodes:
+            if not self._has_room(decode):
+                continue
+            wait_s = GAPS * self._gap_s(decode, now)
+            if decode is not home:
+                wait_s += STRANGE_S
+            if self._may_read_direct(decode, request, now):
+                found.append(
+                    (wait_s + self._read_s(decode, request), decode, None)
+                )
+            for prefill in prefills:
+                if self._may_read(prefill, request, PREFILL_READING_TOKENS):
+                    found.append(
+                        (
+                            wait_s
+                            + HANDOVER_S
+                            + self._read_s(prefill, request),
+                            decode,
+                            prefill,
+                        )
+                    )
+        if not found:
             return None
-        prefill = self._pick_prefill(servers, key)
-        direct_s = self._read_s(decode, tokens, DECODE_TOKENS_PER_S)
+        key = request.prompt.shared_key
+        _, decode, prefill = min(found, key=lambda way: self._rank(way, key))
+        return Placement(
+            decode, prefill, request.tokens_to_read, home or decode
+        )
+
+    def _rank(self, way, key):
+        """Order ways by time, then load, then a hash that spreads VMs."""
+        wait_s, decode, prefill = way
+        in_flight = self.load(decode).in_flight
         if prefill is not None:
-            apart_s = self._read_s(prefill, tokens, PREFILL_TOKENS_PER_S)
-            if apart_s + HANDOVER_S < direct_s and self._may_read(
-                prefill, tokens, PREFILL_READING_TOKENS
-            ):
-                return Placement(decode, prefill, tokens)
-        if self._may_read(decode, tokens, DECODE_READING_TOKENS):
-            return Placement(decode, None, tokens)
-        return None
-
-    def _read_s(self, server, tokens, tokens_per_s):
-        """Return the expected seconds until ``tokens`` more are read."""
-        others = self.load(server).reading * self.vms * OTHERS_SHARE
-        return (others + tokens) / tokens_per_s
-
-    def _may_read(self, server, tokens, limit):
-        reading = self.load(server).reading
-        return not reading or reading + tokens <= limit / self.vms
-
-    def _pick_decode(self, servers, key, is_affine):
-        limit = self._share(DECODE_PLACES)
-        free = [
-            server
-            for server in servers
-            if _is_at(server, registry.Stage.DECODE)
-            and self.load(server).in_flight < limit
-        ]
-        if not free:
-            return None
-        if is_affine:
-            return max(free, key=lambda server: _weight(key, server))
-        return min(
-            free,
-            key=lambda server: (
-                self.load(server).reading,
-                self.load(server).in_flight,
-                _weight(key, server),
-            ),
+            in_flight += self.load(prefill).in_flight
+        return (
+            wait_s + PLACE_S * in_flight,
+            _weight(key, prefill or decode),
+            _weight(key, decode),
         )
 
-    def _pick_prefill(self, servers, key):
-        free = [s for s in servers if _is_at(s, registry.Stage.PREFILL)]
-        if not free:
+    @staticmethod
+    def _home(prompt, decodes):
+        """Return the engine that keeps a long shared part, or None."""
+        if prompt.shared_tokens < HANDOVER_TOKENS or not decodes:
             return None
-        return min(
-            free,
-            key=lambda server: (
-                self.load(server).reading,
-                _weight(key, server),
-            ),
-        )
+        key = prompt.shared_key
+        return max(decodes, key=lambda server: _weight(key, server))
+
+    def _gap_s(self, server, now):
+        load = self.load(server)
+        return load.gap_s * _fade(now - load.gap_at_s)
+
+    def _read_s(self, server, request):
+        """Return the expected seconds until the prompt is read."""
+        others = self.load(server).reading * self.vms * OTHERS_SHARE
+        rate = PREFILL_TOKENS_PER_S
+        if _is_at(server, registry.Stage.DECODE):
+            rate = DECODE_TOKENS_PER_S
+        return (others + request.tokens_to_read) / rate
+
+    def _may_read(self, server, request, limit):
+        load = self.load(server)
+        tokens = load.reading + request.tokens_to_read
+        return not load.reading or tokens <= limit / self.vms
+
+    def _may_read_direct(self, server, request, now):
+        if self._gap_s(server, now) > GAP_SHARE * request.max_gap_s:
+            return False
+        return self._may_read(server, request, DECODE_READING_TOKENS)
+
+    def _has_room(self, server):
+        return self.load(server).in_flight < self._share(DECODE_PLACES)
+
+    def on_gap(self, server, gap_s, now):
+        """Take the pause between two events of a stream."""
+        load = self.load(server)
+        load.gap_s += GAP_WEIGHT * (gap_s - load.gap_s)
+        load.gap_at_s = now
+
+    def on_reading(self, server, tokens):
+        """Count a prompt to read in (or, negative, out)."""
+        self.load(server).reading += tokens
+
+
+def _fade(age_s):
+    """Return how much an observation of this age still says."""
+    return 0.5 ** max(0.0, age_s - 1.0)
 
 
 def _is_at(server, stage):
