A watch goes on behind the last event, and waits 1.2 s

Ruled out: a listing from a stale read, a malformed route. Found while reading: an empty watch answer moved the revision to the store's, past events that the watch had not told. Change: only events move the revision; a watch waits 1.2 s instead of 15, so that a silent one is noticed within the 2 s in which a change must hold.

--- a/src/mangorock/mirror.py
+++ b/src/mangorock/mirror.py
@@ -17,7 +17,8 @@
 from mangorock import errors
 from mangorock import logs
 
-WATCH_WAIT_S = 15.0  # Half of the longest wait that the store grants.
+# A change has to be in force within 2 s, also where a watch missed it.
+WATCH_WAIT_S = 1.2
 MIN_PAUSE_S = 0.1  # First pause after a failure.
 MAX_PAUSE_S = 1.0  # Keeps a returning store known within a second.
 
@@ -112,9 +113,15 @@
         return listing
 
     def on_changes(self, changes):
-        """Take the events of a watch and return them."""
+        """Take the events of a watch and return them.
+
+        The next watch begins behind the last event that came, not at the
+        store's revision: a watch that heard nothing may have missed some.
+        Where the store no longer has that history, a new listing follows.
+        """
         self.pause_s = 0.0
-        self.revision = max(self.revision, changes.revision)
+        for event in changes.events:
+            self.revision = max(self.revision, event.revision)
         return changes.events
 
     def on_history_lost(self):
