--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,305 @@
+"""The decisions of forwarding, each replaying the load that it answers."""
+
+import random
+import unittest
+
+from mangorock import catalog
+from mangorock import errors
+from mangorock import events
+from mangorock import outliers
+from mangorock import placement
+from mangorock import registry
+from mangorock import traffic
+from mangorock import waiting
+from tests import fleet
+
+from adapter import settings
+
+
+def make_route(prefix, service='s', host='h'):
+    shares = (catalog.Share(service, 1.0),)
+    return catalog.Route(
+        prefix, host, prefix, catalog.Kind.SAFE, shares, 1.0, 0.2
+    )
+
+
+def make_server(name, stage=None, domain='a', **more):
+    return registry.BackendServer(
+        name, 's', f'10.0.0.1:{name[1:]}', domain, 8, stage=stage, **more
+    )
+
+
+class Routing(unittest.TestCase):
+    """Host, longest prefix, and weighted splits."""
+
+    def test_longest_prefix_of_the_host_wins(self):
+        routes = tuple(make_route(p) for p in ('/', '/a/', '/a/b/'))
+        found = catalog.Catalog(1, routes, {}, catalog.CallerLimits())
+        for path, prefix in (
+            ('/a/b/c', '/a/b/'),
+            ('/a/bc', '/a/'),
+            ('/ab/', '/'),
+            ('/a', '/'),
+        ):
+            self.assertEqual(prefix, found.find_route('h', path).prefix)
+        self.assertIsNone(found.find_route('other', '/a/'))
+
+    def test_split_follows_the_weights(self):
+        shares = (catalog.Share('x', 90), catalog.Share('y', 10))
+        route = catalog.Route(
+            'r', 'h', '/', catalog.Kind.SAFE, shares, 1.0, 0.2
+        )
+        picked = [route.pick_service(n / 1000) for n in range(1000)]
+        self.assertEqual(100, picked.count('y'))
+
+
+class Register(unittest.TestCase):
+    """Entries that come late, lapse, or come back."""
+
+    def test_older_entries_have_no_effect(self):
+        register = registry.Registry()
+        register.put(make_server('w1', born_ms=5, sequence=7))
+        for born_ms, sequence in ((5, 6), (4, 9)):
+            older = make_server(
+                'w1', born_ms=born_ms, sequence=sequence, is_draining=True
+            )
+            self.assertFalse(register.put(older))
+        self.assertEqual(1, len(register.candidates('s', 0.0)))
+
+    def test_lapsed_servers_serve_only_while_there_is_no_other(self):
+        register = registry.Registry()
+        first, second = make_server('w1'), make_server('w2')
+        register.put(first)
+        register.put(second)
+        register.remove('w1', 10.0)
+        self.assertEqual([second], register.candidates('s', 10.1))
+        register.remove('w2', 10.0)
+        self.assertEqual(2, len(register.candidates('s', 10.1)))
+        late_s = 10.1 + registry.LAPSE_GRACE_S
+        self.assertEqual([], register.candidates('s', late_s))
+        self.assertEqual({'w1', 'w2'}, set(register.forget(late_s)))
+
+    def test_draining_server_is_no_candidate(self):
+        register = registry.Registry()
+        register.put(make_server('w1', sequence=1))
+        register.put(make_server('w1', sequence=2, is_draining=True))
+        self.assertEqual([], register.candidates('s', 0.0))
+
+    def test_new_life_is_not_the_old_one(self):
+        register = registry.Registry()
+        old = make_server('w1', born_ms=1)
+        register.put(make_server('w1', born_ms=2))
+        self.assertFalse(register.is_usable(old, 0.0))
+
+
+class Events(unittest.TestCase):
+    """Whole events in order."""
+
+    def test_bytes_in_any_pieces_give_the_same_events(self):
+        data = b''.join(b'id: %d\ndata: x\n\n' % n for n in range(1, 30))
+        rng = random.Random(3)
+        for _ in range(50):
+            splitter, got, rest = events.EventSplitter(), b'', data
+            while rest:
+                size = rng.randint(1, 40)
+                got += splitter.feed(rest[:size])
+                rest = rest[size:]
+            self.assertEqual(data, got)
+            self.assertEqual(29, splitter.last_id)
+
+    def test_missing_and_repeated_events_are_faults(self):
+        for ids in ((1, 3), (1, 1), (2, 1)):
+            splitter = events.EventSplitter()
+            data = b''.join(b'id: %d\ndata: x\n\n' % n for n in ids)
+            with self.assertRaises(events.EventFault):
+                splitter.feed(data)
+
+    def test_resumed_run_begins_behind_the_last_whole_event(self):
+        splitter = events.EventSplitter()
+        splitter.feed(b'id: 1\ndata: x\n\nid: 2\nda')
+        self.assertFalse(splitter.is_between_events)
+        splitter.restart()
+        data = b'id: 2\ndata: x\n\n'
+        self.assertEqual(data, splitter.feed(data))
+
+
+class Line(unittest.TestCase):
+    """A burst waits in order of urgency, then of arrival."""
+
+    def test_most_urgent_then_oldest_goes_first(self):
+        line = waiting.Line(8)
+        late = line.join(0, 3.0, 9.0)
+        dull = line.join(1, 1.0, 9.0)
+        early = line.join(0, 2.0, 9.0)
+        order = []
+        while first := line.first():
+            self.assertTrue(line.is_first(first.priority, first))
+            order.append(first)
+            line.leave(first)
+        self.assertEqual([early, late, dull], order)
+
+    def test_newcomers_pass_only_those_less_urgent(self):
+        line = waiting.Line(8)
+        line.join(1, 1.0, 9.0)
+        self.assertTrue(line.is_first(0))
+        self.assertFalse(line.is_first(1))
+
+    def test_line_is_bounded(self):
+        line = waiting.Line(1)
+        line.join(1, 1.0, 9.0)
+        self.assertIsNone(line.join(0, 2.0, 9.0))
+
+
+class Outliers(unittest.TestCase):
+    """Grey and crashed servers are passed over, within bounds."""
+
+    def test_unreachable_server_is_left_out_and_tried_again(self):
+        found, servers = (
+            outliers.Outliers(),
+            [
+                make_server('w1'),
+                make_server('w2'),
+                make_server('w3'),
+            ],
+        )
+        found.failed(servers[0], 10.0, is_unreachable=True)
+        self.assertEqual(servers[1:], found.sound(servers, 10.1))
+        later_s = 10.1 + outliers.FIRST_PAUSE_S
+        self.assertEqual(servers, found.sound(servers, later_s))
+        found.on_send(servers[0])
+        self.assertEqual(servers[1:], found.sound(servers, later_s))
+        found.on_end(servers[0])
+        found.succeeded(servers[0])
+        self.assertEqual(servers, found.sound(servers, later_s))
+
+    def test_half_of_a_service_stays_in_use(self):
+        found = outliers.Outliers()
+        servers = [make_server(f'w{n}') for n in range(1, 5)]
+        for server in servers:
+            found.failed(server, 10.0, is_unreachable=True)
+        self.assertEqual(2, len(found.sound(servers, 10.1)))
+
+    def test_server_that_fails_half_of_its_requests_is_found(self):
+        found, server = outliers.Outliers(), make_server('w1')
+        rng, is_out = random.Random(1), False
+        for number in range(20):
+            if rng.random() < 0.5:
+                is_out |= found.failed(server, number / 10)
+            else:
+                found.succeeded(server)
+        self.assertTrue(is_out)
+
+    def test_rare_failures_leave_a_server_in_use(self):
+        found, server = outliers.Outliers(), make_server('w1')
+        for number in range(200):
+            if number % 20 == 0:
+                self.assertFalse(found.failed(server, number / 10))
+            else:
+                found.succeeded(server)
+
+
+def make_demand(shared=0, own=300, key='doc'):
+    parts = (traffic.PromptPart('own', own),)
+    if shared:
+        parts = (traffic.PromptPart(key, shared), *parts)
+    prompt = traffic.Prompt('m', shared + own, 40, parts)
+    return placement.Demand(prompt, own, 0.3)
+
+
+DECODES = [make_server(f'd{n}', registry.Stage.DECODE) for n in range(1, 5)]
+PREFILLS = [make_server(f'p{n}', registry.Stage.PREFILL) for n in (1, 2)]
+
+
+class Placement(unittest.TestCase):
+    """Bursts of long prompts, of short ones, and shared documents."""
+
+    def place(self, placer, demand, now=0.0):
+        placed = placer.place_generation(demand, DECODES + PREFILLS, now)
+        if placed is not None:
+            reader = placed.prefill or placed.decode
+            placer.on_reading(reader, placed.tokens)
+            placer.on_send(placed.decode)
+        return placed
+
+    def test_all_vms_find_the_same_engine_for_a_document(self):
+        for key in ('a', 'b', 'c', 'd'):
+            homes = set()
+            for _ in range(8):
+                placer = placement.Placer('a')
+                demand = make_demand(13000, 3700, key)
+                homes.add(self.place(placer, demand).decode.server_id)
+            self.assertEqual(1, len(homes))
+
+    def test_documents_spread_over_the_engines(self):
+        placer = placement.Placer('a')
+        homes = {
+            placer.place_generation(
+                make_demand(13000, 3700, f'doc{n}'), DECODES + PREFILLS, 0.0
+            ).home.server_id
+            for n in range(40)
+        }
+        self.assertEqual(4, len(homes))
+
+    def test_burst_of_long_prompts_uses_every_engine_then_waits(self):
+        placer, readers = placement.Placer('a'), []
+        for number in range(40):
+            demand = make_demand(13000, 3700, f'doc{number}')
+            placed = self.place(placer, demand)
+            if placed is None:
+                break
+            readers.append((placed.prefill or placed.decode).server_id)
+        self.assertIsNone(placed)
+        self.assertEqual({'p1', 'p2', 'd1', 'd2', 'd3', 'd4'}, set(readers))
+        self.assertTrue(readers[0].startswith('p'))
+
+    def test_burst_of_short_prompts_spreads(self):
+        placer, readers = placement.Placer('a'), []
+        for _ in range(24):
+            placed = self.place(placer, make_demand())
+            readers.append((placed.prefill or placed.decode).server_id)
+        self.assertEqual(6, len(set(readers)))
+        self.assertLess(max(map(readers.count, readers)), 12)
+
+    def test_engine_with_long_pauses_reads_no_prompt_itself(self):
+        placer = placement.Placer('a')
+        for server in DECODES:
+            for _ in range(10):
+                placer.on_gap(server, 0.9, 0.0)
+        placed = self.place(placer, make_demand())
+        self.assertIsNotNone(placed.prefill)
+        placed = self.place(placer, make_demand(), now=9.0)
+        self.assertIsNone(placed.prefill)
+
+    def test_plain_requests_avoid_the_slow_server(self):
+        placer = placement.Placer('a')
+        slow, fast = make_server('w1'), make_server('w2')
+        for _ in range(20):
+            placer.on_answer(slow, None, 0.5, 0.0)
+            placer.on_answer(fast, None, 0.05, 0.0)
+        placed = placer.place_plain([slow, fast], 80, 0.0)
+        self.assertEqual('w2', placed.server_id)
+
+    def test_connections_are_shared_among_the_vms(self):
+        placer, server = placement.Placer('a'), make_server('w1')
+        for _ in range(10):
+            self.assertIsNotNone(placer.place_plain([server], 80, 0.0))
+            placer.on_send(server)
+        self.assertIsNone(placer.place_plain([server], 80, 0.0))
+
+
+class Settings(unittest.TestCase):
+    """The platform's settings file."""
+
+    def test_every_fault_is_reported(self):
+        with self.assertRaises(errors.SettingsError) as caught:
+            settings.decode({'listen': {'front': 'x'}, 'bounds': {}})
+        for name in ('nodeName', 'zone', 'listen.front', 'bounds.graceS'):
+            self.assertIn(name, caught.exception.message)
+
+    def test_unreadable_file_is_a_settings_error(self):
+        with self.assertRaises(errors.SettingsError):
+            settings.load(str(fleet.ROOT / 'missing.json'))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_mirror.py
@@ -0,0 +1,199 @@
+"""Fuzzing of the store mirror against an oracle, and its mutations.
+
+The model store writes, removes, forgets history, fails, cuts watches and
+answers empty watches with a revision that is ahead of what they told.  What
+the mirror holds after a quiet while has to be what the store holds.
+"""
+
+import unittest
+from unittest import mock
+
+import hypothesis
+from hypothesis import strategies
+
+from mangorock import mirror
+
+PAGE = 2
+
+
+class ModelStore:
+    """Holds keys; answers the calls of one mirror."""
+
+    def __init__(self):
+        self.items = {}
+        self.events = []
+        self.revision = 1
+        self.oldest = 0
+
+    def put(self, key):
+        self.revision += 1
+        item = mirror.Item(key, b'%d' % self.revision, self.revision)
+        self.items[key] = item
+        self.events.append(item)
+
+    def remove(self, key):
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.events.append(mirror.Removal(key, self.revision))
+
+    def forget(self):
+        self.oldest = self.revision
+        self.events = []
+
+    def page(self, call):
+        keys = sorted(key for key in self.items if key > call.after)
+        items = tuple(self.items[key] for key in keys[:PAGE])
+        return mirror.Page(items, len(keys) > PAGE, self.revision)
+
+    def changes(self, call, is_deaf):
+        if call.revision < self.oldest:
+            raise mirror.HistoryLost()
+        found = (
+            ()
+            if is_deaf
+            else tuple(
+                event
+                for event in self.events
+                if event.revision > call.revision
+            )
+        )
+        return mirror.Changes(found, self.revision)
+
+
+class Follower:
+    """What the daemon does with a mirror, without its loop."""
+
+    def __init__(self):
+        self.mirror = mirror.Mirror('k')
+        self.store = ModelStore()
+        self.held = {}
+
+    def step(self, trouble):
+        call = self.mirror.next_call()
+        if trouble == 'fails':
+            self.mirror.on_failure(0.5)
+            return
+        match call:
+            case mirror.ListPage():
+                listing = self.mirror.on_page(self.store.page(call))
+                if listing is not None:
+                    self.held = {item.key: item for item in listing}
+            case mirror.Watch():
+                self._watch(call, trouble == 'deaf')
+
+    def _watch(self, call, is_deaf):
+        try:
+            changes = self.store.changes(call, is_deaf)
+        except mirror.HistoryLost:
+            self.mirror.on_history_lost()
+            return
+        for event in self.mirror.on_changes(changes):
+            match event:
+                case mirror.Item():
+                    self.held[event.key] = event
+                case mirror.Removal():
+                    self.held.pop(event.key, None)
+
+
+ACTIONS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.sampled_from(('put', 'remove')),
+            strategies.sampled_from('abcdef'),
+        ),
+        strategies.tuples(
+            strategies.just('step'),
+            strategies.sampled_from(('fine', 'fine', 'fails', 'deaf')),
+        ),
+        strategies.just(('forget', '')),
+    ),
+    max_size=40,
+)
+
+
+def play(actions):
+    """Play actions, then a quiet while; return (held, stored)."""
+    follower = Follower()
+    for key in 'bdf':
+        follower.store.put(key)
+    for name, argument in actions:
+        match name:
+            case 'put':
+                follower.store.put(argument)
+            case 'remove':
+                follower.store.remove(argument)
+            case 'forget':
+                follower.store.forget()
+            case 'step':
+                follower.step(argument)
+    for _ in range(12):
+        follower.step('fine')
+    return follower.held, follower.store.items
+
+
+def find_fault(seed=1):
+    """Return the first actions after which the mirror is wrong, or None."""
+    found = []
+
+    @hypothesis.seed(seed)
+    @hypothesis.settings(
+        max_examples=400,
+        database=None,
+        deadline=None,
+        phases=[hypothesis.Phase.generate],
+    )
+    @hypothesis.given(ACTIONS)
+    def check(actions):
+        held, stored = play(actions)
+        if held != stored:
+            found.append(actions)
+
+    check()
+    return found[0] if found else None
+
+
+class MirrorFuzzing(unittest.TestCase):
+    """The mirror holds what the store holds, whatever came between."""
+
+    def test_mirror_catches_up(self):
+        self.assertIsNone(find_fault())
+
+    def test_finds_a_watch_that_skips_to_the_stores_revision(self):
+        def on_changes(self, changes):
+            self.revision = changes.revision
+            return changes.events
+
+        with mock.patch.object(mirror.Mirror, 'on_changes', on_changes):
+            self.assertIsNotNone(find_fault())
+
+    def test_finds_a_watch_from_the_last_pages_revision(self):
+        on_page = mirror.Mirror.on_page
+
+        def late(self, page):
+            self.first_revision = page.revision
+            return on_page(self, page)
+
+        with mock.patch.object(mirror.Mirror, 'on_page', late):
+            self.assertIsNotNone(find_fault())
+
+    def test_finds_a_lost_history_that_is_ignored(self):
+        with mock.patch.object(
+            mirror.Mirror, 'on_history_lost', lambda self: None
+        ):
+            self.assertIsNotNone(find_fault())
+
+
+class Pauses(unittest.TestCase):
+    """Failures are tried again at a bounded and spread rate."""
+
+    def test_pause_grows_to_its_bound_and_ends_with_success(self):
+        follower = Follower()
+        pauses = [follower.mirror.on_failure(1.0) for _ in range(8)]
+        self.assertEqual(mirror.MIN_PAUSE_S, pauses[0])
+        self.assertEqual(mirror.MAX_PAUSE_S, pauses[-1])
+        follower.step('fine')
+        self.assertEqual(mirror.MIN_PAUSE_S, follower.mirror.on_failure(1.0))
+
+
+if __name__ == '__main__':
+    unittest.main()
