Prompts at the worst load: engines' own pace, told backlog, long prompts apart

Cause: the engines differ in speed by 2.7, each VM's one prompt at a slow prefill engine made a second's queue there, and long prompts read by decode engines stretched the pauses of running streams to over two seconds. Change: an engine's pace is learned from the prompts that it read, a prefill engine's told backlog counts, decode engines read long prompts only while their streams hardly pause, and a request waits for a place as long as its target.

--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -29,7 +29,7 @@
 # Requests that may wait for a place at once, for each service.
 MAX_WAITING = 64
 # The part of the target for which a request waits for a place.
-WAIT_SHARE = 0.5
+WAIT_SHARE = 1.0
 # The part of the time left after which a safe request is sent again.
 TRY_SHARE = 0.4
 MIN_TRY_S = 0.25
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -35,6 +35,15 @@
     server: object
     tokens: int
 
+    since_s: float = attrs.field(factory=time.monotonic)
+
+    def done(self):
+        """The prompt was read."""
+        if self.tokens:
+            seconds = time.monotonic() - self.since_s
+            self.placer.on_read(self.server, self.tokens, seconds)
+        self.end()
+
     def __attrs_post_init__(self):
         self.placer.on_reading(self.server, self.tokens)
 
@@ -68,7 +77,7 @@
     async def feed(self, answer, data):
         """Write whole events; the first one says that the prompt is read."""
         now = time.monotonic()
-        self.reading.end()
+        self.reading.done()
         self.work.first_s = self.work.first_s or now
         if self.last_s:
             self.placer.on_gap(self.server, now - self.last_s, now)
@@ -139,7 +148,7 @@
     def _demand(self):
         prompt = self.work.request.prompt
         tokens = prompt.tokens
-        if prompt.shared_tokens >= placement.HANDOVER_TOKENS:
+        if prompt.shared_tokens >= placement.LONG_TOKENS:
             # Some engine keeps a shared part of this size.
             tokens -= prompt.shared_tokens
         return placement.Demand(prompt, tokens, self.work.route.max_gap_s)
@@ -162,7 +171,7 @@
                 self.work.read_s = time.monotonic()
                 if handle is None:
                     return sending.Unreachable('no prefill')
-                self.reading.end()
+                self.reading.done()
             self.relay.follow(placer, placed.decode, self.reading)
             outcome = await self._decode(placed, handle)
             is_taken = isinstance(outcome, sending.Streamed)
@@ -192,7 +201,10 @@
             gateway.metrics.retried(metrics.Retry.PREFILL)
         self.prefills += 1
         dispatch = gateway.dispatch(
-            work, server, is_prefill=True, fetch_from=home.address
+            work,
+            server,
+            is_prefill=True,
+            fetch_from=home.address if home else '',
         )
         wait_s = max(PREFILL_TARGETS * work.route.target_s, work.left_s - 0.3)
         try:
--- a/src/mangorock/placement.py
+++ b/src/mangorock/placement.py
@@ -18,24 +18,40 @@
 
 from mangorock import registry
 
-# Prompts with more tokens to read go through a prefill engine.
-HANDOVER_TOKENS = 2000
-# Requests in flight at one engine from all entry VMs together; from runs
-# on the users' bench (see docs/MEASUREMENTS.md).
-PREFILL_PLACES = 16
+# Prompts with more tokens to read are long, and shared parts of this size
+# are worth finding again.
+LONG_TOKENS = 2000
+# Requests in flight at one decode engine from all entry VMs together.
 DECODE_PLACES = 64
-PREFILL_READING_TOKENS = 30000
+# Tokens that one engine may have to read from all entry VMs together: about
+# one target of the longest stage at the speeds below.
+PREFILL_READING_TOKENS = 45000
 DECODE_READING_TOKENS = 16000
+# Speeds of an engine of average make, corrected by each engine's own pace.
 PREFILL_TOKENS_PER_S = 48000
 DECODE_TOKENS_PER_S = 24000
-HANDOVER_S = 0.01
+# The part of this VM's share that the other VMs are taken to have too.
 OTHERS_SHARE = 0.5
-GAPS = 1.0
-GAP_WEIGHT = 0.3
-GAP_SHARE = 1.0
+# A VM's first prompt at an engine may go over the limit by this factor.
+FIRST_SLACK = 2.0
+# Seconds that a hand-over adds, and that each request in flight adds.
+HANDOVER_S = 0.01
 PLACE_S = 0.002
-STRANGE_S = 1.0
-# How long a load that a server told counts.
+# Seconds by which another engine must be better than the one that keeps the
+# shared part, since a second copy drives others out.
+STRANGE_S = 0.3
+# Pauses between events that a run of ordinary length waits for.
+GAPS = 1.0
+GAP_WEIGHT = 0.3  # Of the newest pause in the average.
+# Parts of the longest allowed pause above which a decode engine reads no
+# short, or no long prompt itself.
+GAP_SHARE = 0.7
+LONG_GAP_SHARE = 0.1
+PACE_WEIGHT = 0.1  # Of the newest prompt in an engine's pace.
+MIN_PACE = 0.5
+MAX_PACE = 3.0
+FIRST_EVENT_S = 0.02  # Spent on a prompt besides reading.
+# How long a load that a plain server told counts.
 REPORT_VALID_S = 1.0
 # A server in another failure domain must be this much better.
 FAR_PENALTY = 1.15
@@ -49,6 +65,8 @@
 
     in_flight: int = 0
     reading: int = 0
+    pace: float = 1.0
+    prompt_tokens: float = 1000.0
     gap_s: float = 0.0
     gap_at_s: float = 0.0
     latency_s: float = 0.0
@@ -65,9 +83,22 @@
     max_gap_s: float
 
 
+@attrs.frozen
+class Way:
+    """A decode engine, who reads the prompt, and the expected wait."""
+
+    wait_s: float
+    decode: registry.BackendServer
+    prefill: registry.BackendServer | None = None
+
+
 @attrs.frozen
 class Placement:
-    """Where a generation runs; ``prefill`` is None without a hand-over."""
+    """Where a generation runs; ``prefill`` is None without a hand-over.
+
+    ``tokens`` are those to read, ``home`` the engine that keeps a long
+    shared part, or None.
+    """
 
     decode: registry.BackendServer
     prefill: registry.BackendServer | None = None
@@ -150,7 +181,7 @@
         is_near = server.failure_domain == self.failure_domain
         return cost if is_near else cost * FAR_PENALTY
 
-    def place_generation(self, request, servers, now):
+    def place_generation(self, demand, servers, now):
         """Return a `Placement`, or None when the engines are full.
 
         All pairs of a decode engine and a way to read the prompt are
@@ -158,53 +189,50 @@
         """
         decodes = [s for s in servers if _is_at(s, registry.Stage.DECODE)]
         prefills = [s for s in servers if _is_at(s, registry.Stage.PREFILL)]
-        home = self._home(request.prompt, decodes)
-        found = []
+        home = self._home(demand.prompt, decodes)
+        ways = []
         for decode in decodes:
             if not self._has_room(decode):
                 continue
             wait_s = GAPS * self._gap_s(decode, now)
             if decode is not home:
                 wait_s += STRANGE_S
-            if self._may_read_direct(decode, request, now):
-                found.append(
-                    (wait_s + self._read_s(decode, request), decode, None)
-                )
-            for prefill in prefills:
-                if self._may_read(prefill, request, PREFILL_READING_TOKENS):
-                    found.append(
-                        (
-                            wait_s
-                            + HANDOVER_S
-                            + self._read_s(prefill, request),
-                            decode,
-                            prefill,
-                        )
-                    )
-        if not found:
+            ways += self._ways(wait_s, decode, prefills, demand, now)
+        if not ways:
             return None
-        key = request.prompt.shared_key
-        _, decode, prefill = min(found, key=lambda way: self._rank(way, key))
+        key = demand.prompt.shared_key
+        best = min(ways, key=lambda way: self._rank(way, key))
         return Placement(
-            decode, prefill, request.tokens_to_read, home or decode
+            best.decode, best.prefill, demand.tokens_to_read, home
         )
 
+    def _ways(self, wait_s, decode, prefills, demand, now):
+        """Return the ways to have a prompt read for ``decode``."""
+        ways = []
+        if self._may_read_direct(decode, demand, now):
+            read_s = self._read_s(decode, demand, now)
+            ways.append(Way(wait_s + read_s, decode))
+        for prefill in prefills:
+            if self._may_read(prefill, demand, PREFILL_READING_TOKENS, now):
+                read_s = HANDOVER_S + self._read_s(prefill, demand, now)
+                ways.append(Way(wait_s + read_s, decode, prefill))
+        return ways
+
     def _rank(self, way, key):
         """Order ways by time, then load, then a hash that spreads VMs."""
-        wait_s, decode, prefill = way
-        in_flight = self.load(decode).in_flight
-        if prefill is not None:
-            in_flight += self.load(prefill).in_flight
+        in_flight = self.load(way.decode).in_flight
+        if way.prefill is not None:
+            in_flight += self.load(way.prefill).in_flight
         return (
-            wait_s + PLACE_S * in_flight,
-            _weight(key, prefill or decode),
-            _weight(key, decode),
+            way.wait_s + PLACE_S * in_flight,
+            _weight(key, way.prefill or way.decode),
+            _weight(key, way.decode),
         )
 
     @staticmethod
     def _home(prompt, decodes):
         """Return the engine that keeps a long shared part, or None."""
-        if prompt.shared_tokens < HANDOVER_TOKENS or not decodes:
+        if prompt.shared_tokens < LONG_TOKENS or not decodes:
             return None
         key = prompt.shared_key
         return max(decodes, key=lambda server: _weight(key, server))
@@ -213,23 +241,41 @@
         load = self.load(server)
         return load.gap_s * _fade(now - load.gap_at_s)
 
-    def _read_s(self, server, request):
+    def _read_s(self, server, demand, now):
         """Return the expected seconds until the prompt is read."""
-        others = self.load(server).reading * self.vms * OTHERS_SHARE
-        rate = PREFILL_TOKENS_PER_S
-        if _is_at(server, registry.Stage.DECODE):
-            rate = DECODE_TOKENS_PER_S
-        return (others + request.tokens_to_read) / rate
+        tokens = self._backlog(server, now) + demand.tokens_to_read
+        return self.load(server).pace * tokens / _rate(server)
 
-    def _may_read(self, server, request, limit):
-        load = self.load(server)
-        tokens = load.reading + request.tokens_to_read
-        return not load.reading or tokens <= limit / self.vms
+    def _backlog(self, server, now):
+        """Return the tokens that a server has still to read, of all VMs.
 
-    def _may_read_direct(self, server, request, now):
-        if self._gap_s(server, now) > GAP_SHARE * request.max_gap_s:
+        The VMs' requests are alike, so what this one has outstanding
+        stands for the others too; a prefill engine's own report of its
+        prompts counts for as long as those take.
+        """
+        load = self.load(server)
+        guess = load.reading * self.vms * OTHERS_SHARE
+        if load.report is None or _is_at(server, registry.Stage.DECODE):
+            return guess
+        prompts = max(0, load.report.running + load.report.waiting - 1)
+        told = prompts * load.prompt_tokens
+        passed = (now - load.reported_s) * _rate(server) / load.pace
+        return max(guess, told - passed)
+
+    def _may_read(self, server, demand, limit, now):
+        load = self.load(server)
+        tokens = self._backlog(server, now) + demand.tokens_to_read
+        if not load.reading and tokens <= FIRST_SLACK * limit:
+            return True
+        return load.pace * tokens <= limit
+
+    def _may_read_direct(self, server, demand, now):
+        share = GAP_SHARE
+        if demand.tokens_to_read > LONG_TOKENS:
+            share = LONG_GAP_SHARE
+        if self._gap_s(server, now) > share * demand.max_gap_s:
             return False
-        return self._may_read(server, request, DECODE_READING_TOKENS)
+        return self._may_read(server, demand, DECODE_READING_TOKENS, now)
 
     def _has_room(self, server):
         return self.load(server).in_flight < self._share(DECODE_PLACES)
@@ -240,11 +286,26 @@
         load.gap_s += GAP_WEIGHT * (gap_s - load.gap_s)
         load.gap_at_s = now
 
+    def on_read(self, server, tokens, seconds):
+        """Take how long a prompt of ``tokens`` took to be read."""
+        load = self.load(server)
+        load.prompt_tokens += PACE_WEIGHT * (tokens - load.prompt_tokens)
+        others = max(0, load.reading - tokens) * self.vms * OTHERS_SHARE
+        ratio = seconds / (FIRST_EVENT_S + (others + tokens) / _rate(server))
+        ratio = min(MAX_PACE, max(MIN_PACE, ratio))
+        load.pace += PACE_WEIGHT * (ratio - load.pace)
+
     def on_reading(self, server, tokens):
         """Count a prompt to read in (or, negative, out)."""
         self.load(server).reading += tokens
 
 
+def _rate(server):
+    if _is_at(server, registry.Stage.DECODE):
+        return DECODE_TOKENS_PER_S
+    return PREFILL_TOKENS_PER_S
+
+
 def _fade(age_s):
     """Return how much an observation of this age still says."""
     return 0.5 ** max(0.0, age_s - 1.0)
