VMs are counted in the platform's store

Cause: shares of connections, places and the retry budget assumed 8 VMs; with 88 each VM's burst of 5 retries adds up to 440 against a slack of 56. Change: each VM keeps a key under a lease and counts the keys every 4 s with reads that may be stale; a smaller count is believed after four counts.

--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -21,6 +21,7 @@
 from mangorock import ingress as ingresses
 from mangorock import logs
 from mangorock import mirror
+from mangorock import presence
 from mangorock import signals
 
 CONNECT_TIMEOUT_S = 0.5  # A hundred round trips between failure domains.
@@ -129,6 +130,14 @@
             self._take_changes,
             self.rng,
         )
+        await self.spawn(presence.announce, store, settings.vm, self.rng)
+        await self.spawn(
+            presence.count,
+            store,
+            presence.Census(self.gateway.placer.vms),
+            self.gateway.share_with,
+            self.rng,
+        )
         await self.spawn(self._prune)
         logs.event(
             'started',
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -39,7 +39,7 @@
 RETRY_AFTER_S = (0.3, 0.9)
 # The fleet's retry budget, as one VM's share of its own arrivals.
 RETRY_SHARE = 0.12
-RETRY_BURST = 5.0
+FLEET_RETRY_BURST = 40.0
 
 
 @attrs.define
@@ -85,9 +85,7 @@
     registry: registries.Registry = attrs.field(factory=registries.Registry)
     lines: dict = attrs.field(factory=dict)
     budget: limits.RetryBudget = attrs.field(
-        factory=lambda: limits.RetryBudget(
-            RETRY_BURST, RETRY_BURST, RETRY_SHARE
-        )
+        factory=lambda: limits.RetryBudget(1.0, 1.0, RETRY_SHARE)
     )
     placer: placement.Placer = attrs.field(init=False)
     outliers: outliers_module.Outliers = attrs.field(
@@ -97,10 +95,16 @@
 
     def __attrs_post_init__(self):
         self.placer = placement.Placer(self.failure_domain)
+        self.share_with(self.placer.vms)
         self.sender = sending.Sender(
             self.client, self.wire, self.placer, self.outliers
         )
 
+    def share_with(self, vms):
+        """Take the number of entry VMs that share the servers."""
+        self.placer.vms = vms
+        self.budget.burst = max(1.0, FLEET_RETRY_BURST / vms)
+
     async def handle(self, raw, reply):
         """Serve one request; an `ingress.Ingress` calls this."""
         end = 'whole'
--- /dev/null
+++ b/src/mangorock/presence.py
@@ -0,0 +1,103 @@
+"""How many entry VMs share the backend servers.
+
+Each VM keeps a key under a lease in the platform's store and now and then
+counts the keys of all.  Shares of limits follow from the count.  Answers
+the pattern of a store that was away: leases lapse together and the keys
+come back one after the other, so a smaller count is believed only once it
+has held for `COUNTS_TO_SHRINK` counts.
+
+`Census` is the state machine, `announce` and `count` are the loops.
+"""
+
+import attrs
+import curio
+
+from mangorock import errors
+from mangorock import logs
+
+PREFIX = 'mangorock/vms/'
+LEASE_S = 15.0  # A VM that is gone is counted for so long.
+RENEW_S = LEASE_S / 3  # Two renewals may be lost.
+RETRY_S = 0.2  # Between the loss of a lease and the next one.
+COUNT_INTERVAL_S = 4.0
+COUNTS_TO_SHRINK = 4  # Longer than a lapsed VM takes to come back.
+
+
+class LeaseLost(Exception):
+    """The lease has ended, and its keys with it."""
+
+
+@attrs.define
+class Census:
+    """The believed number of VMs, ``expected`` until the first count.
+
+    Example::
+
+        census = Census(expected=8)
+        census.take(3)    # 3: all VMs start together, keys come one by one
+        census.take(8)    # 8
+        census.take(1)    # 8 for now
+    """
+
+    expected: int = 8
+    recent: list = attrs.field(factory=list)
+
+    def take(self, counted):
+        """Take a count and return the number to use."""
+        self.recent = [*self.recent, counted][-COUNTS_TO_SHRINK:]
+        return self.vms
+
+    @property
+    def vms(self):
+        """Return the number of VMs to share with, this one included."""
+        if len(self.recent) < COUNTS_TO_SHRINK:
+            return max(1, self.expected, *self.recent)
+        return max(1, *self.recent)
+
+
+async def announce(store, vm, rng):
+    """Keep this VM's key alive, for ever."""
+    lease = None
+    while True:
+        try:
+            if lease is None:
+                lease = await store.grant_lease(LEASE_S)
+                await store.put(PREFIX + vm, b'', lease)
+                logs.event('presence_announced', lease=lease)
+            else:
+                await store.keep_lease(lease)
+        except LeaseLost:
+            logs.event('presence_lost', lease=lease)
+            lease = None
+            await curio.sleep(RETRY_S)
+            continue
+        except errors.MangorockError as exc:
+            # The mirrors log that the store is away.
+            logs.debug('presence_not_renewed', error=exc.message)
+        await curio.sleep(RENEW_S * (0.75 + 0.5 * rng.random()))
+
+
+async def count(store, census, take, rng):
+    """Count the VMs, for ever; ``take(vms)`` gets each result."""
+    while True:
+        await curio.sleep(COUNT_INTERVAL_S * (0.75 + 0.5 * rng.random()))
+        try:
+            counted = await count_once(store)
+        except errors.MangorockError as exc:
+            logs.debug('vms_not_counted', error=exc.message)
+            continue
+        before = census.vms
+        if census.take(counted) != before:
+            logs.event('vms_counted', vms=census.vms, counted=counted)
+        take(census.vms)
+
+
+async def count_once(store):
+    """Return the number of keys; they may be seconds old."""
+    counted, after = 0, ''
+    while True:
+        page = await store.list_page(PREFIX, after, is_stale_allowed=True)
+        counted += len(page.items)
+        if not page.has_more or not page.items:
+            return counted
+        after = page.items[-1].key
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -119,6 +119,7 @@
         self.oldest = 0
         self.status = 200
         self.calls = []
+        self.leases = 0
         self.tasks = []
 
     async def start(self):
@@ -158,6 +159,8 @@
         self.events = []
 
     async def _handle(self, request, responder):
+        if request.method == 'POST':
+            return await self._write(request, responder)
         path, _, query = request.path.partition('?')
         query = dict(urllib.parse.parse_qsl(query))
         self.calls.append(path)
@@ -175,6 +178,21 @@
             return await responder.respond(200, page)
         return await self._watch(query, responder)
 
+    async def _write(self, request, responder):
+        self.calls.append(request.path)
+        if self.status != 200:
+            return await responder.respond(self.status, b'')
+        if request.path == '/-/kv-lease':
+            self.leases += 1
+            return await responder.respond(200, {'lease': self.leases})
+        if request.path.startswith('/-/kv-keep/'):
+            lease = int(request.path.rpartition('/')[2])
+            status = 200 if lease == self.leases else 404
+            return await responder.respond(status, {})
+        for row in request.json()['setKeys']:
+            self.put(row['key'], base64.b64decode(row['value']))
+        return await responder.respond(200, {'revision': self.revision})
+
     async def _watch(self, query, responder):
         after = int(query['after'])
         end_s = await curio.clock() + int(query['waitMs']) / 1000
