--- a/src/mangorock/catalog.py
+++ b/src/mangorock/catalog.py
@@ -39,8 +39,9 @@
     ``timeout_s`` is the longest time that a request is kept waiting,
     ``target_s`` the time to the first byte that callers hope for,
     ``max_gap_s`` the longest pause within a stream (0: none stated).
-    ``priority`` 0 is the most urgent.  ``max_servers`` bounds the backend
-    servers on which one request may run.
+    Callers leave a stream that is silent for ``patience_s`` (None: not
+    known).  ``priority`` 0 is the most urgent.  ``max_servers`` bounds the
+    backend servers on which one request may run.
     """
 
     name: str
@@ -54,6 +55,7 @@
     priority: int = 0
     max_servers: int = 1
     is_resumable: bool = False
+    patience_s: float | None = None
 
     @property
     def is_repeatable(self):
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -60,6 +60,18 @@
     first_s: float = 0.0
     servers: str = ''
 
+    def settle(self, outcome, was_run):
+        """Take back what was assumed of a send that did not run."""
+        if isinstance(outcome, (sending.Unreachable, sending.Refused)):
+            self.may_have_run = was_run
+        if isinstance(outcome, sending.Unreachable):
+            self.sends -= 1
+
+    def place(self, servers):
+        """Note when and where the request got its place."""
+        self.placed_s = time.monotonic()
+        self.servers = '+'.join(server.server_id for server in servers)
+
     def since_received(self, moment_s):
         """Return the seconds until a moment, -1 if it never came."""
         return moment_s - self.request.received_s if moment_s else -1
@@ -108,7 +120,7 @@
     async def handle(self, raw, reply):
         """Serve one request; an `ingress.Ingress` calls this."""
         end = 'whole'
-        work = None
+        request = work = None
         try:
             request = self.wire.decode_request(raw)
             work = self._find(request, reply)
@@ -135,14 +147,16 @@
                 ),
             )
         finally:
-            self._account(raw, work, end)
+            self._account(raw, request, work, end)
 
-    def _account(self, raw, work, end):
+    def _account(self, raw, request, work, end):
         seconds = time.monotonic() - raw.received_s
         self.metrics.timing('request', seconds)
         if work is None:
             logs.event(
                 'request_done',
+                request=request.request_id if request else '',
+                host=request.host if request else '',
                 target=raw.target,
                 end=end,
                 seconds=seconds,
@@ -229,6 +243,7 @@
             server = await self.wait(
                 work, lambda: self._place_plain(work, service)
             )
+            work.place([server])
             try:
                 outcome = await self._try_plain(work, server)
             finally:
@@ -266,8 +281,7 @@
         except curio.errors.TaskTimeout:
             self.outliers.failed(server, time.monotonic())
             return sending.Broken('silent')
-        if isinstance(outcome, (sending.Unreachable, sending.Refused)):
-            work.may_have_run = was_run
+        work.settle(outcome, was_run)
         return outcome
 
     def dispatch(self, work, server, **more):
@@ -311,9 +325,8 @@
         work.tried.add(server.life)
         route = work.route
         match outcome:
-            case sending.Unreachable():
+            case sending.Unreachable() | sending.Unsent():
                 work.unreached += 1
-                work.sends -= 1
                 if work.unreached > MAX_UNREACHED:
                     raise self.no_server(work)
                 self.metrics.retried(metrics_module.Retry.CONNECT)
@@ -381,6 +394,16 @@
         if first:
             await first.turn.set()
 
+    def too_late(self, work):
+        """Return the refusal of what cannot come before the caller leaves."""
+        if work.may_have_run:
+            return _broken()
+        return errors.Overloaded(
+            f'{work.service} cannot answer before the caller gives up; try '
+            'again',
+            retry_after_s=self._retry_after_s(),
+        )
+
     def _overloaded(self, work):
         return errors.Overloaded(
             f'every server of {work.service} is full; try again',
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -22,8 +22,8 @@
 SILENT_TARGETS = 2.5
 SILENT_GAPS = 3.0
 MIN_SILENT_S = 0.6
-# A prefill that takes so many targets is tried elsewhere.
-PREFILL_TARGETS = 2.0
+# Left of the caller's patience for the decode of a prefilled prompt.
+DECODE_S = 0.1
 MAX_PREFILLS = 2
 
 
@@ -114,8 +114,7 @@
         gateway, work = self.gateway, self.work
         while True:
             placed = await gateway.wait(work, self._place)
-            work.placed_s = time.monotonic()
-            work.servers = '+'.join(s.server_id for s in placed.servers)
+            work.place(placed.servers)
             try:
                 outcome = await self._attempt(placed)
             finally:
@@ -170,7 +169,7 @@
                 handle = await self._prefill(placed)
                 self.work.read_s = time.monotonic()
                 if handle is None:
-                    return sending.Unreachable('no prefill')
+                    return sending.Unsent('the prompt was not read')
                 self.reading.done()
             self.relay.follow(placer, placed.decode, self.reading)
             outcome = await self._decode(placed, handle)
@@ -206,7 +205,9 @@
             is_prefill=True,
             fetch_from=home.address if home else '',
         )
-        wait_s = max(PREFILL_TARGETS * work.route.target_s, work.left_s - 0.3)
+        wait_s = self._left_s() - DECODE_S
+        if wait_s <= 0:
+            raise gateway.too_late(work)
         try:
             async with curio.timeout_after(wait_s):
                 outcome = await gateway.sender.call(
@@ -214,7 +215,7 @@
                 )
         except curio.errors.TaskTimeout:
             gateway.outliers.failed(server, time.monotonic())
-            outcome = sending.Broken('silent')
+            raise gateway.too_late(work)
         match outcome:
             case sending.Whole(answer, body) if answer.is_success:
                 return gateway.wire.decode_handle(server.address, body)
@@ -227,7 +228,7 @@
         server, home = placed.decode, placed.home
         is_strange = handle is None and home not in (None, server)
         if not gateway.registry.is_usable(server, time.monotonic()):
-            return sending.Unreachable('the server is leaving')
+            return sending.Unsent('the server is leaving')
         dispatch = gateway.dispatch(
             work,
             server,
@@ -240,10 +241,17 @@
         outcome = await gateway.sender.stream(
             work.request, dispatch, self.relay, self._patience()
         )
-        if isinstance(outcome, (sending.Unreachable, sending.Refused)):
-            work.may_have_run = was_run
+        work.settle(outcome, was_run)
         return outcome
 
+    def _left_s(self):
+        """Return the seconds within which the caller waits for an event."""
+        patience_s = self.work.route.patience_s
+        if patience_s is None:
+            return self.work.left_s
+        waited_s = time.monotonic() - self.work.request.received_s
+        return min(self.work.left_s, patience_s - waited_s)
+
     def _patience(self):
         route = self.work.route
         can_resume = route.is_resumable and self.work.sends < route.max_servers
--- a/src/mangorock/mirror.py
+++ b/src/mangorock/mirror.py
@@ -3,8 +3,10 @@
 `Mirror` is the state machine, without sockets or clocks: it says which call
 comes next and takes in what came of it.  It lists the prefix page by page,
 then watches from the revision of the first page, since pages are no
-snapshot.  A watch whose history is gone starts a new listing; any other
-failure is tried again from the same revision after a pause that grows.
+snapshot.  After a watch whose history is gone, and after any failure, it
+lists again: a store that cuts its watches is about to drop its history, and
+a new watch that comes before that hears nothing of what it missed.  The
+pause after failures grows.
 
 `follow` is the loop around it.
 """
@@ -17,8 +19,8 @@
 from mangorock import errors
 from mangorock import logs
 
-# A change has to be in force within 2 s, also where a watch missed it.
-WATCH_WAIT_S = 1.2
+# A watch that went silent without being cut is noticed after this time.
+WATCH_WAIT_S = 3.0
 MIN_PAUSE_S = 0.1  # First pause after a failure.
 MAX_PAUSE_S = 1.0  # Keeps a returning store known within a second.
 
@@ -130,11 +132,13 @@
         self.is_listing = True
 
     def on_failure(self, jitter):
-        """Return the pause in seconds; ``jitter`` is in [0, 1)."""
+        """Return the pause before the next listing, in seconds.
+
+        ``jitter`` is in [0, 1).
+        """
         grown_s = max(MIN_PAUSE_S, 2 * self.pause_s)
         self.pause_s = min(MAX_PAUSE_S, grown_s)
-        if self.is_listing:
-            self._restart()
+        self.on_history_lost()
         return self.pause_s * (0.5 + 0.5 * jitter)
 
     def _restart(self):
--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -34,6 +34,13 @@
     error: str
 
 
+@attrs.frozen
+class Unsent:
+    """The request was not sent for a reason of this VM's own."""
+
+    error: str
+
+
 @attrs.frozen
 class Refused:
     """The server states that it did not run the request."""
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -46,7 +46,7 @@
         return mirror.Page(items, len(keys) > PAGE, self.revision)
 
     def changes(self, call, is_deaf):
-        if call.revision < self.oldest:
+        if call.revision < self.oldest and not is_deaf:
             raise mirror.HistoryLost()
         found = (
             ()
@@ -183,6 +183,20 @@
             self.assertIsNotNone(find_fault())
 
 
+class CutWatch(unittest.TestCase):
+    """A store cuts its watches, and drops its history a moment later."""
+
+    def test_change_that_the_cut_watch_missed_is_read_at_once(self):
+        # A VM that watched again between the two heard nothing for the
+        # whole wait and answered 404 on a route added four seconds before.
+        follower = Follower()
+        follower.step('fine')
+        follower.store.put('a')
+        follower.step('fails')
+        follower.step('deaf')
+        self.assertIn('a', follower.held)
+
+
 class Pauses(unittest.TestCase):
     """Failures are tried again at a bounded and spread rate."""
 
