--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -36,7 +36,7 @@
 # Sends that reach no server are free, but not without end.
 MAX_UNREACHED = 3
 # Retry-After is spread over this span, in seconds.
-RETRY_AFTER_S = (0.3, 0.9)
+RETRY_AFTER_S = (0.8, 1.6)
 # The fleet's retry budget, as one VM's share of its own arrivals.
 RETRY_SHARE = 0.12
 FLEET_RETRY_BURST = 40.0
