A refusal after a broken try says that the request may have run

Cause: a safe request or resumable stream that broke once and then found no server or no place was answered 503, which promises that it has not run. Found while reading. Change: all refusals are made in one module that looks at whether anything may have run. Test: seen red with the check taken out. Also the stand-in worker has a test module of its own.

--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -21,6 +21,7 @@
 from mangorock import metrics as metrics_module
 from mangorock import outliers as outliers_module
 from mangorock import placement
+from mangorock import refusals
 from mangorock import registry as registries
 from mangorock import sending
 from mangorock import traffic
@@ -131,7 +132,7 @@
             await self._refuse(reply, exc)
         except curio.errors.TaskTimeout:
             end = 'timeout'
-            await self._refuse(reply, _late(work))
+            await self._refuse(reply, refusals.late(work))
         except (OSError, curio.errors.CancelledError):
             end = 'caller_gone'
             self.metrics.add('caller_gone')
@@ -209,21 +210,15 @@
     async def _serve(self, work):
         service = self.catalog.services.get(work.service)
         if service is None:
-            raise self.no_server(work)
+            raise refusals.no_server(work, self.retry_after_s())
         match work.route.kind:
             case catalogs.Kind.STREAM:
                 return await generation.serve(self, work, service)
             case _:
                 return await self._serve_plain(work, service)
 
-    def no_server(self, work):
-        """Return the refusal where no server is known or sound."""
-        return errors.NoBackend(
-            f'no server of {work.service} may take the request now; try again',
-            retry_after_s=self._retry_after_s(),
-        )
-
-    def _retry_after_s(self):
+    def retry_after_s(self):
+        """Return when a refused caller should come back, in seconds."""
         return self.rng.uniform(*RETRY_AFTER_S)
 
     def servers(self, work):
@@ -236,8 +231,6 @@
             if server.life not in work.tried
         ]
 
-    # Plain requests.
-
     async def _serve_plain(self, work, service):
         while True:
             server = await self.wait(
@@ -260,7 +253,7 @@
     def _place_plain(self, work, service):
         servers = self.servers(work)
         if not servers:
-            raise self.no_server(work)
+            raise refusals.no_server(work, self.retry_after_s())
         return self.placer.place_plain(
             servers, service.max_connections, time.monotonic()
         )
@@ -328,30 +321,20 @@
             case sending.Unreachable() | sending.Unsent():
                 work.unreached += 1
                 if work.unreached > MAX_UNREACHED:
-                    raise self.no_server(work)
+                    raise refusals.no_server(work, self.retry_after_s())
                 self.metrics.retried(metrics_module.Retry.CONNECT)
                 return
             case sending.Refused():
                 if work.sends > MAX_UNREACHED or not self.budget.spend():
-                    raise self._refused(work)
+                    raise refusals.refused(work, self.retry_after_s())
                 self.metrics.retried(metrics_module.Retry.REFUSED)
             case _:
                 if not route.is_repeatable or work.sends >= route.max_servers:
-                    raise _broken()
+                    raise refusals.broken()
                 if not self.budget.spend():
-                    raise _broken()
+                    raise refusals.broken()
                 self.metrics.retried(metrics_module.Retry.BROKEN)
 
-    def _refused(self, work):
-        if work.may_have_run:
-            return _broken()
-        return errors.BackendRefused(
-            f'the servers of {work.service} refused the request; try again',
-            retry_after_s=self._retry_after_s(),
-        )
-
-    # Waiting for a place.
-
     async def wait(self, work, place):
         """Return what ``place()`` finds, waiting while it finds None."""
         route = work.route
@@ -367,7 +350,7 @@
         )
         ticket = line.join(route.priority, now, until_s)
         if ticket is None:
-            raise self._overloaded(work)
+            raise refusals.overloaded(work, self.retry_after_s())
         try:
             return await self._wait_in(line, ticket, place, work)
         finally:
@@ -378,7 +361,7 @@
         while True:
             wait_s = ticket.until_s - time.monotonic()
             if wait_s <= 0:
-                raise self._overloaded(work)
+                raise refusals.overloaded(work, self.retry_after_s())
             ticket.turn.clear()
             if line.is_first(ticket.priority, ticket):
                 found = place()
@@ -393,38 +376,3 @@
         first = line and line.first()
         if first:
             await first.turn.set()
-
-    def too_late(self, work):
-        """Return the refusal of what cannot come before the caller leaves."""
-        if work.may_have_run:
-            return _broken()
-        return errors.Overloaded(
-            f'{work.service} cannot answer before the caller gives up; try '
-            'again',
-            retry_after_s=self._retry_after_s(),
-        )
-
-    def _overloaded(self, work):
-        return errors.Overloaded(
-            f'every server of {work.service} is full; try again',
-            retry_after_s=self._retry_after_s(),
-        )
-
-
-def _late(work):
-    if work.may_have_run:
-        return errors.DeadlineExceeded(
-            'no answer came before the deadline; look up whether the request '
-            'took effect before repeating it',
-            run=errors.Run.UNKNOWN,
-        )
-    return errors.Overloaded(
-        'the deadline passed before the request was sent; try again'
-    )
-
-
-def _broken():
-    return errors.BackendBroken(
-        'the server broke off; look up whether the request took effect '
-        'before repeating it'
-    )
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -15,6 +15,7 @@
 from mangorock import events
 from mangorock import metrics
 from mangorock import placement
+from mangorock import refusals
 from mangorock import sending
 
 # A stream that may be resumed is given up when it was silent for so many
@@ -134,7 +135,7 @@
         gateway, work = self.gateway, self.work
         servers = gateway.servers(work)
         if not servers:
-            raise gateway.no_server(work)
+            raise refusals.no_server(work, gateway.retry_after_s())
         if work.request.prompt is None:
             server = gateway.placer.place_plain(
                 servers, self.service.max_connections, time.monotonic()
@@ -207,7 +208,7 @@
         )
         wait_s = self._left_s() - DECODE_S
         if wait_s <= 0:
-            raise gateway.too_late(work)
+            raise refusals.too_late(work, gateway.retry_after_s())
         try:
             async with curio.timeout_after(wait_s):
                 outcome = await gateway.sender.call(
@@ -215,7 +216,7 @@
                 )
         except curio.errors.TaskTimeout:
             gateway.outliers.failed(server, time.monotonic())
-            raise gateway.too_late(work)
+            raise refusals.too_late(work, gateway.retry_after_s())
         match outcome:
             case sending.Whole(answer, body) if answer.is_success:
                 return gateway.wire.decode_handle(server.address, body)
--- /dev/null
+++ b/src/mangorock/refusals.py
@@ -0,0 +1,81 @@
+"""The refusals of forwarding: each says truly whether the request has run.
+
+Whatever the reason, a request that may have run at a server before gets the
+one refusal that promises nothing.
+
+Example::
+
+    raise refusals.overloaded(work, retry_after_s=1.2)
+"""
+
+from mangorock import errors
+
+
+def broken():
+    """Return the refusal of a request that may have run."""
+    return errors.BackendBroken(
+        'the server broke off; look up whether the request took effect '
+        'before repeating it'
+    )
+
+
+def no_server(work, retry_after_s):
+    """Return the refusal where no server is known or sound."""
+    return _unless_run(
+        work,
+        errors.NoBackend(
+            f'no server of {work.service} may take the request now; try again',
+            retry_after_s=retry_after_s,
+        ),
+    )
+
+
+def refused(work, retry_after_s):
+    """Return the refusal where servers refused before they worked."""
+    return _unless_run(
+        work,
+        errors.BackendRefused(
+            f'the servers of {work.service} refused the request; try again',
+            retry_after_s=retry_after_s,
+        ),
+    )
+
+
+def overloaded(work, retry_after_s):
+    """Return the refusal where no place came free in time."""
+    return _unless_run(
+        work,
+        errors.Overloaded(
+            f'every server of {work.service} is full; try again',
+            retry_after_s=retry_after_s,
+        ),
+    )
+
+
+def too_late(work, retry_after_s):
+    """Return the refusal of what cannot come before the caller leaves."""
+    return _unless_run(
+        work,
+        errors.Overloaded(
+            f'{work.service} cannot answer before the caller gives up; try '
+            'again',
+            retry_after_s=retry_after_s,
+        ),
+    )
+
+
+def late(work):
+    """Return the refusal of a request whose deadline has passed."""
+    if not work.may_have_run:
+        return errors.Overloaded(
+            'the deadline passed before the request was sent; try again'
+        )
+    return errors.DeadlineExceeded(
+        'no answer came before the deadline; look up whether the request '
+        'took effect before repeating it',
+        run=errors.Run.UNKNOWN,
+    )
+
+
+def _unless_run(work, refusal):
+    return broken() if work.may_have_run else refusal
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -6,6 +6,7 @@
 import orjson
 
 from tests import fleet
+from tests import workers
 
 
 def run(test):
@@ -22,7 +23,7 @@
 
     @run
     async def test_passes_request_and_answer_unchanged(self):
-        worker = fleet.Worker('w1', 'desk', fleet.whole)
+        worker = workers.Worker('w1', 'desk', workers.whole)
         async with fleet.Fleet(worker) as desk:
             exchange, body = await desk.ask(
                 'POST', '/place/x?y=1', ('x-mine', 'kept'), body=b'order'
@@ -30,7 +31,8 @@
         seen = worker.seen[0]
         self.assertEqual((200, b'done'), (exchange.status, body))
         self.assertEqual(
-            fleet.SIGNATURE.decode(), exchange.headers['x-response-signature']
+            workers.SIGNATURE.decode(),
+            exchange.headers['x-response-signature'],
         )
         self.assertEqual(
             ('POST', '/place/x?y=1', b'order'),
@@ -43,7 +45,7 @@
 
     @run
     async def test_drops_headers_that_are_the_systems_to_set(self):
-        worker = fleet.Worker('w1', 'desk', fleet.whole)
+        worker = workers.Worker('w1', 'desk', workers.whole)
         async with fleet.Fleet(worker) as desk:
             await desk.ask(
                 'GET',
@@ -72,26 +74,26 @@
     @run
     async def test_unsafe_is_never_sent_again_once_it_may_have_run(self):
         def breaks(seen):
-            return [fleet.CLOSE]
+            return [workers.CLOSE]
 
-        workers = [
-            fleet.Worker('w1', 'desk', breaks),
-            fleet.Worker('w2', 'desk', breaks),
+        staff = [
+            workers.Worker('w1', 'desk', breaks),
+            workers.Worker('w2', 'desk', breaks),
         ]
-        async with fleet.Fleet(*workers) as desk:
+        async with fleet.Fleet(*staff) as desk:
             exchange, _ = await desk.ask('POST', '/place/', body=b'order')
         self.assertEqual(502, exchange.status)
-        self.assertEqual(1, sum(len(w.seen) for w in workers))
+        self.assertEqual(1, sum(len(w.seen) for w in staff))
 
     @run
     async def test_unsafe_that_was_not_run_goes_to_another_server(self):
-        workers = [
-            fleet.Worker('w1', 'desk', fleet.not_run, fleet.whole),
-            fleet.Worker('w2', 'desk', fleet.not_run, fleet.whole),
+        staff = [
+            workers.Worker('w1', 'desk', workers.not_run, workers.whole),
+            workers.Worker('w2', 'desk', workers.not_run, workers.whole),
         ]
-        workers[1].script = [fleet.whole]
-        workers[0].script = [fleet.not_run]
-        async with fleet.Fleet(*workers) as desk:
+        staff[1].script = [workers.whole]
+        staff[0].script = [workers.not_run]
+        async with fleet.Fleet(*staff) as desk:
             for _ in range(4):
                 exchange, _ = await desk.ask('POST', '/place/', body=b'o')
                 self.assertEqual(200, exchange.status)
@@ -99,24 +101,35 @@
     @run
     async def test_safe_is_tried_elsewhere_after_a_cut_answer(self):
         def cut(seen):
-            return [fleet.whole(seen)[:-2], fleet.CLOSE]
+            return [workers.whole(seen)[:-2], workers.CLOSE]
 
-        workers = [
-            fleet.Worker('w1', 'desk', cut),
-            fleet.Worker('w2', 'desk', fleet.whole),
+        staff = [
+            workers.Worker('w1', 'desk', cut),
+            workers.Worker('w2', 'desk', workers.whole),
         ]
-        async with fleet.Fleet(*workers) as desk:
+        async with fleet.Fleet(*staff) as desk:
             for _ in range(4):
                 exchange, body = await desk.ask('GET', '/look/')
                 self.assertEqual((200, b'done'), (exchange.status, body))
 
+    @run
+    async def test_refusal_after_a_broken_try_promises_nothing(self):
+        def breaks(seen):
+            return [workers.CLOSE]
+
+        worker = workers.Worker('w1', 'desk', breaks)
+        async with fleet.Fleet(worker) as desk:
+            exchange, body = await desk.ask('GET', '/look/')
+        self.assertEqual(502, exchange.status)
+        self.assertEqual('unknown', orjson.loads(body)['error']['run'])
+
     @run
     async def test_answer_to_another_request_is_skipped(self):
         def late(seen):
-            other = fleet.whole(seen, b'not yours', request_id='other')
-            return other + fleet.whole(seen, b'yours')
+            other = workers.whole(seen, b'not yours', request_id='other')
+            return other + workers.whole(seen, b'yours')
 
-        worker = fleet.Worker('w1', 'desk', late)
+        worker = workers.Worker('w1', 'desk', late)
         async with fleet.Fleet(worker) as desk:
             exchange, body = await desk.ask('POST', '/place/', body=b'o')
         self.assertEqual((200, b'yours'), (exchange.status, body))
@@ -124,9 +137,9 @@
     @run
     async def test_connection_with_extra_bytes_is_not_reused(self):
         def extra(seen):
-            return fleet.whole(seen) + fleet.whole(seen, b'extra')
+            return workers.whole(seen) + workers.whole(seen, b'extra')
 
-        worker = fleet.Worker('w1', 'desk', extra, fleet.whole)
+        worker = workers.Worker('w1', 'desk', extra, workers.whole)
         async with fleet.Fleet(worker) as desk:
             _, first = await desk.ask('POST', '/place/', body=b'o')
             exchange, second = await desk.ask('POST', '/place/', body=b'p')
@@ -138,7 +151,7 @@
         def forged(seen):
             return b'HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nhi'
 
-        worker = fleet.Worker('w1', 'desk', forged)
+        worker = workers.Worker('w1', 'desk', forged)
         async with fleet.Fleet(worker) as desk:
             exchange, _ = await desk.ask('POST', '/place/', body=b'o')
         self.assertEqual(502, exchange.status)
@@ -151,7 +164,7 @@
 
         config = fleet.make_config(2)
         config['routes'][1]['timeoutMs'] = 200
-        worker = fleet.Worker('w1', 'desk', hangs)
+        worker = workers.Worker('w1', 'desk', hangs)
         async with fleet.Fleet(worker, config=config) as desk:
             exchange, body = await desk.ask('POST', '/place/', body=b'o')
         self.assertEqual(504, exchange.status)
@@ -162,7 +175,7 @@
         def hangs(seen):
             return [9.0]
 
-        worker = fleet.Worker('w1', 'desk', hangs)
+        worker = workers.Worker('w1', 'desk', hangs)
         async with fleet.Fleet(worker) as desk:
             exchange = await desk.open()
             task = await curio.spawn(
@@ -177,7 +190,7 @@
 
     @run
     async def test_two_framings_are_refused_and_the_connection_ends(self):
-        worker = fleet.Worker('w1', 'desk', fleet.whole)
+        worker = workers.Worker('w1', 'desk', workers.whole)
         async with fleet.Fleet(worker) as desk:
             exchange = await desk.open()
             await exchange.sock.sendall(
@@ -208,7 +221,7 @@
 
     @run
     async def test_stream_arrives_whole(self):
-        worker = fleet.Worker('w1', 'llm', fleet.stream, stage='decode')
+        worker = workers.Worker('w1', 'llm', workers.stream, stage='decode')
         async with fleet.Fleet(worker) as desk:
             exchange, body = await desk.ask(
                 'POST', '/ask/', *fleet.prompt_headers(), body=b'q'
@@ -220,10 +233,12 @@
     @run
     async def test_long_prompt_is_read_apart_and_handed_over(self):
         def prefill(seen):
-            return fleet.whole(seen, b'{"handle":"h1","tokens":9,"version":1}')
+            return workers.whole(
+                seen, b'{"handle":"h1","tokens":9,"version":1}'
+            )
 
-        reader = fleet.Worker('p1', 'llm', prefill, stage='prefill')
-        worker = fleet.Worker('d1', 'llm', fleet.stream, stage='decode')
+        reader = workers.Worker('p1', 'llm', prefill, stage='prefill')
+        worker = workers.Worker('d1', 'llm', workers.stream, stage='decode')
         async with fleet.Fleet(reader, worker) as desk:
             sizes = fleet.prompt_headers(9000, 'doc:7000,own:2000')
             _, body = await desk.ask('POST', '/read/', *sizes, body=b'q')
@@ -237,11 +252,13 @@
     async def test_handle_is_freed_when_the_decode_refuses(self):
         def prefill(seen):
             if seen.method == 'DELETE':
-                return fleet.whole(seen, b'')
-            return fleet.whole(seen, b'{"handle":"h1","tokens":9,"version":1}')
+                return workers.whole(seen, b'')
+            return workers.whole(
+                seen, b'{"handle":"h1","tokens":9,"version":1}'
+            )
 
-        reader = fleet.Worker('p1', 'llm', prefill, stage='prefill')
-        worker = fleet.Worker('d1', 'llm', fleet.not_run, stage='decode')
+        reader = workers.Worker('p1', 'llm', prefill, stage='prefill')
+        worker = workers.Worker('d1', 'llm', workers.not_run, stage='decode')
         async with fleet.Fleet(reader, worker) as desk:
             sizes = fleet.prompt_headers(9000, 'doc:7000,own:2000')
             exchange, _ = await desk.ask('POST', '/read/', *sizes, body=b'q')
@@ -257,16 +274,16 @@
         def breaks(seen):
             chunked = b'Transfer-Encoding: chunked'
             if 'last-event-id' in seen.headers:
-                return fleet.stream(seen)
+                return workers.stream(seen)
             half = b'7\r\nid: 3\nd\r\n'
-            start = fleet.head(seen, chunked) + fleet.events(1, 2)
-            return [start + half, fleet.CLOSE]
+            start = workers.head(seen, chunked) + workers.events(1, 2)
+            return [start + half, workers.CLOSE]
 
-        workers = [
-            fleet.Worker('d1', 'llm', breaks, stage='decode'),
-            fleet.Worker('d2', 'llm', breaks, stage='decode'),
+        staff = [
+            workers.Worker('d1', 'llm', breaks, stage='decode'),
+            workers.Worker('d2', 'llm', breaks, stage='decode'),
         ]
-        async with fleet.Fleet(*workers) as desk:
+        async with fleet.Fleet(*staff) as desk:
             _, body = await desk.ask(
                 'POST', '/read/', *fleet.prompt_headers(), body=b'q'
             )
@@ -276,17 +293,17 @@
             if line.startswith(b'id: ')
         ]
         self.assertEqual([1, 2, 3, 4], numbers)
-        seen = [seen for worker in workers for seen in worker.seen]
+        seen = [seen for worker in staff for seen in worker.seen]
         self.assertEqual(2, len(seen))
 
     @run
     async def test_stream_that_may_not_resume_is_reset(self):
         def breaks(seen):
             chunked = b'Transfer-Encoding: chunked'
-            start = fleet.head(seen, chunked) + fleet.events(1, 2)
-            return [start, fleet.CLOSE]
+            start = workers.head(seen, chunked) + workers.events(1, 2)
+            return [start, workers.CLOSE]
 
-        worker = fleet.Worker('d1', 'llm', breaks, stage='decode')
+        worker = workers.Worker('d1', 'llm', breaks, stage='decode')
         async with fleet.Fleet(worker) as desk:
             with self.assertRaises(OSError):
                 await desk.ask(
@@ -300,7 +317,7 @@
 
     @run
     async def test_newer_configuration_holds_and_older_does_not(self):
-        worker = fleet.Worker('w1', 'desk', fleet.whole)
+        worker = workers.Worker('w1', 'desk', workers.whole)
         async with fleet.Fleet(worker) as desk:
             config = fleet.make_config(5)
             config['routes'] = config['routes'][:1]
@@ -314,7 +331,7 @@
 
     @run
     async def test_malformed_rows_cost_only_themselves(self):
-        worker = fleet.Worker('w1', 'desk', fleet.whole)
+        worker = workers.Worker('w1', 'desk', workers.whole)
         config = fleet.make_config(3)
         config['routes'].insert(0, {'name': 'bad', 'kind': 'other'})
         async with fleet.Fleet(worker, config=config) as desk:
@@ -326,20 +343,20 @@
 
     @run
     async def test_draining_server_gets_no_new_request(self):
-        workers = [
-            fleet.Worker('w1', 'desk', fleet.whole),
-            fleet.Worker('w2', 'desk', fleet.whole),
+        staff = [
+            workers.Worker('w1', 'desk', workers.whole),
+            workers.Worker('w2', 'desk', workers.whole),
         ]
-        async with fleet.Fleet(*workers) as desk:
-            desk.store.put('servers/w1', workers[0].entry('draining', 2))
+        async with fleet.Fleet(*staff) as desk:
+            desk.store.put('servers/w1', staff[0].entry('draining', 2))
             await curio.sleep(0.1)
             for _ in range(6):
                 await desk.ask('GET', '/look/')
-        self.assertFalse(workers[0].seen)
+        self.assertFalse(staff[0].seen)
 
     @run
     async def test_lost_history_is_read_anew(self):
-        worker = fleet.Worker('w1', 'desk', fleet.whole)
+        worker = workers.Worker('w1', 'desk', workers.whole)
         async with fleet.Fleet(worker) as desk:
             desk.store.put('op/config', fleet.make_config(9))
             desk.store.forget_history()
@@ -348,7 +365,7 @@
 
     @run
     async def test_serves_on_without_the_store_and_catches_up(self):
-        worker = fleet.Worker('w1', 'desk', fleet.whole)
+        worker = workers.Worker('w1', 'desk', workers.whole)
         async with fleet.Fleet(worker) as desk:
             desk.store.status = 503
             await curio.sleep(1.5)
@@ -366,9 +383,9 @@
     @run
     async def test_open_requests_end_and_new_ones_on_them_are_served(self):
         def slow(seen):
-            return [0.3, fleet.whole(seen)]
+            return [0.3, workers.whole(seen)]
 
-        worker = fleet.Worker('w1', 'desk', slow, fleet.whole)
+        worker = workers.Worker('w1', 'desk', slow, workers.whole)
         async with fleet.Fleet(worker) as desk:
             exchange = await desk.open()
             task = await curio.spawn(
--- /dev/null
+++ b/tests/workers.py
@@ -0,0 +1,187 @@
+"""A stand-in of a worker that answers by a script, and its answers."""
+
+import attrs
+import curio
+import h11
+
+from mangorock import http
+from tests import ports
+
+SIGNATURE = b'3e1b.07.5a2.600.0.c9f2a4d1'
+#: Ends a script: the worker closes the connection.
+CLOSE = object()
+
+
+@attrs.define
+class Seen:
+    """A request as a worker got it."""
+
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+
+    @property
+    def request_id(self):
+        """Return the caller's id."""
+        return self.headers.get('x-request-id', '')
+
+
+def head(seen, *more, status=200, request_id=None):
+    """Return the head of a signed answer in chunks."""
+    request_id = request_id or seen.request_id
+    lines = [
+        b'HTTP/1.1 %d X' % status,
+        b'X-Request-Id: ' + request_id.encode(),
+        b'X-Response-Signature: ' + SIGNATURE,
+        *more,
+    ]
+    return b'\r\n'.join(lines) + b'\r\n\r\n'
+
+
+def whole(seen, body=b'done', status=200, request_id=None):
+    """Return a whole signed answer."""
+    length = b'Content-Length: %d' % len(body)
+    return head(seen, length, status=status, request_id=request_id) + body
+
+
+def not_run(seen):
+    """Return the answer of a full worker."""
+    del seen
+    return b'HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+
+
+def events(first, last):
+    """Return the chunks of events ``first`` to ``last``."""
+    data = b''.join(
+        b'id: %d\ndata: piece %d\n\n' % (number, number)
+        for number in range(first, last + 1)
+    )
+    return b'%x\r\n%s\r\n' % (len(data), data)
+
+
+def stream(seen, last=4):
+    """Return a whole stream, behind the event that the caller has."""
+    first = int(seen.headers.get('last-event-id', 0)) + 1
+    chunked = b'Transfer-Encoding: chunked'
+    return head(seen, chunked) + events(first, last) + b'0\r\n\r\n'
+
+
+class Worker:
+    """A worker that answers by ``script``: functions of `Seen`.
+
+    Each returns bytes, or a list of bytes, seconds to pause and `CLOSE`.
+    The last one answers all that follow.
+    """
+
+    def __init__(self, name, service, *script, stage=None, born=1):
+        self.name = name
+        self.service = service
+        self.script = list(script)
+        self.stage = stage
+        self.born = born
+        self.port = ports.free_port()
+        self.seen = []
+        self.cut = 0
+        self.tasks = []
+
+    @property
+    def address(self):
+        """Return IP:port."""
+        return f'127.0.0.1:{self.port}'
+
+    def entry(self, state='ready', sequence=1):
+        """Return its entry in the store."""
+        entry = {
+            'service': self.service,
+            'address': self.address,
+            'zone': 'a',
+            'version': 'v1',
+            'slots': 8,
+            'state': state,
+            'coldRemainingMs': 0,
+            'sequence': sequence,
+            'born': self.born,
+        }
+        if self.stage:
+            entry['stage'] = self.stage
+        return entry
+
+    async def start(self):
+        """Listen."""
+        sock = http.listen('127.0.0.1', self.port)
+        self.tasks.append(await curio.spawn(self._accept, sock, daemon=True))
+
+    async def close(self):
+        """Stop listening."""
+        while self.tasks:
+            await self.tasks.pop().cancel()
+
+    async def _accept(self, sock):
+        async with sock:
+            while True:
+                accepted, _ = await sock.accept()
+                await curio.spawn(self._serve, accepted, daemon=True)
+
+    async def _serve(self, sock):
+        conn = h11.Connection(h11.SERVER)
+        async with sock:
+            while True:
+                seen = await self._read(sock, conn)
+                if seen is None:
+                    return
+                self.seen.append(seen)
+                answer = self.script[0]
+                if len(self.script) > 1:
+                    self.script.pop(0)
+                if not await self._answer(sock, answer(seen)):
+                    return
+                conn = h11.Connection(h11.SERVER)
+
+    async def _answer(self, sock, parts):
+        for part in [parts] if isinstance(parts, bytes) else parts:
+            if part is CLOSE:
+                return False
+            if not isinstance(part, bytes):
+                if not await self._pause(sock, part):
+                    return False
+                continue
+            await sock.sendall(part)
+        return True
+
+    async def _pause(self, sock, seconds):
+        """Pause; return False when the other side closed meanwhile."""
+        async with curio.ignore_after(seconds):
+            if not await sock.recv(1):
+                self.cut += 1
+                return False
+        return True
+
+    @staticmethod
+    async def _read(sock, conn):
+        found, body = None, b''
+        while True:
+            event = conn.next_event()
+            match event:
+                case h11.Request():
+                    found = event
+                case h11.Data():
+                    body += event.data
+                case h11.EndOfMessage():
+                    names = {
+                        name.decode(): value.decode()
+                        for name, value in found.headers
+                    }
+                    return Seen(
+                        found.method.decode(),
+                        found.target.decode(),
+                        names,
+                        body,
+                    )
+                case h11.ConnectionClosed():
+                    return None
+                case h11.NEED_DATA:
+                    try:
+                        conn.receive_data(await sock.recv(65536))
+                    except OSError:
+                        return None
