A server's status that promises more than it says is not passed on

Cause, found while reading: a 503, 429 or 408 of a server without its word that the request has not run was passed on, and callers take these for that word. Such an answer becomes a 502. Also: a prompt that could not be read no longer counts against the decode engine, and request lines tell the age of the register. Tests: two over loopback.

--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -170,7 +170,9 @@
 
     def _take_servers(self, items):
         found = filter(None, map(self.platform.decode_server, items))
-        self.gateway.registry.replace(list(found), time.monotonic())
+        registry, now = self.gateway.registry, time.monotonic()
+        registry.replace(list(found), now)
+        registry.heard_s = now
         logs.event(
             'servers_listed',
             servers=len(self.gateway.registry.servers),
@@ -179,6 +181,7 @@
 
     def _take_changes(self, events):
         registry, now = self.gateway.registry, time.monotonic()
+        registry.heard_s = now
         for event in events:
             match event:
                 case mirror.Item():
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -176,6 +176,7 @@
             sends=work.sends,
             servers=work.servers,
             config=self.catalog.version,
+            register_age_s=time.monotonic() - self.registry.heard_s,
         )
 
     async def _refuse(self, reply, error):
@@ -294,7 +295,12 @@
         )
 
     async def deliver(self, work, answer, body):
-        """Write a whole answer to the caller."""
+        """Write a whole answer to the caller.
+
+        Raises `errors.BackendBroken` for one that would promise too much.
+        """
+        if answer.is_false_promise:
+            raise refusals.broken()
         await work.reply.respond(answer.status, answer.headers, body)
         return 'whole' if answer.is_success else f'status_{answer.status}'
 
@@ -315,8 +321,9 @@
 
     def next_try(self, work, server, outcome):
         """Allow one more send, or raise why there is none."""
-        work.tried.add(server.life)
         route = work.route
+        if not isinstance(outcome, sending.Unsent):
+            work.tried.add(server.life)
         match outcome:
             case sending.Unreachable() | sending.Unsent():
                 work.unreached += 1
--- a/src/mangorock/mirror.py
+++ b/src/mangorock/mirror.py
@@ -153,7 +153,8 @@
     ``store`` has ``list_page(prefix, after)`` and ``watch(prefix,
     revision, wait_s)``, which raise `errors.PlatformUnavailable` and
     `HistoryLost`.  ``take_listing(items)`` gets each whole listing,
-    ``take_events(events)`` each batch of changes.
+    ``take_events(events)`` each
+    batch of changes, also an empty one.
     """
     lost_s = None
     while True:
@@ -197,6 +198,4 @@
             changes = await store.watch(
                 call.prefix, call.revision, WATCH_WAIT_S
             )
-            events = mirror.on_changes(changes)
-            if events:
-                take_events(events)
+            take_events(mirror.on_changes(changes))
--- a/src/mangorock/registry.py
+++ b/src/mangorock/registry.py
@@ -50,10 +50,14 @@
 
 @attrs.define
 class Registry:
-    """Keeps the newest entry of each server; a state machine."""
+    """Keeps the newest entry of each server; a state machine.
+
+    ``heard_s`` is when the register was last heard of.
+    """
 
     servers: dict = attrs.field(factory=dict)
     lapsed_s: dict = attrs.field(factory=dict)
+    heard_s: float = 0.0
 
     def put(self, server):
         """Take an entry; return whether it is news."""
--- a/src/mangorock/traffic.py
+++ b/src/mangorock/traffic.py
@@ -11,6 +11,10 @@
 from mangorock import registry
 
 
+#: Statuses by which callers know that a request has not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
+
 @attrs.frozen
 class PromptPart:
     """A part of a prompt that other requests may share."""
@@ -126,6 +130,14 @@
     is_encoded: bool = False
     load: LoadReport | None = None
 
+    @property
+    def is_false_promise(self):
+        """Say whether the status tells callers what the server does not.
+
+        To callers it means that the request has not run.
+        """
+        return self.status in NOT_RUN_STATUSES and not self.has_not_run
+
     @property
     def is_success(self):
         """Say whether the status is 2xx."""
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -123,6 +123,17 @@
         self.assertEqual(502, exchange.status)
         self.assertEqual('unknown', orjson.loads(body)['error']['run'])
 
+    @run
+    async def test_status_that_promises_too_much_is_not_passed_on(self):
+        def busy(seen):
+            return workers.whole(seen, b'busy', status=503)
+
+        worker = workers.Worker('w1', 'desk', busy)
+        async with fleet.Fleet(worker) as desk:
+            exchange, _ = await desk.ask('POST', '/place/', body=b'o')
+        self.assertEqual(502, exchange.status)
+        self.assertNotIn('x-response-signature', exchange.headers)
+
     @run
     async def test_answer_to_another_request_is_skipped(self):
         def late(seen):
@@ -269,6 +280,27 @@
             [(seen.method, seen.target) for seen in reader.seen],
         )
 
+    @run
+    async def test_prompt_that_was_not_read_is_read_elsewhere(self):
+        def prefill(seen):
+            return workers.whole(seen, b'{"handle":"h1","tokens":9}')
+
+        def breaks(seen):
+            return [workers.CLOSE]
+
+        readers = [
+            workers.Worker('p1', 'llm', breaks, stage='prefill'),
+            workers.Worker('p2', 'llm', prefill, stage='prefill'),
+        ]
+        worker = workers.Worker('d1', 'llm', workers.stream, stage='decode')
+        async with fleet.Fleet(*readers, worker) as desk:
+            sizes = fleet.prompt_headers(9000, 'doc:7000,own:2900')
+            for _ in range(3):
+                exchange, _ = await desk.ask(
+                    'POST', '/read/', *sizes, body=b'q'
+                )
+                self.assertEqual(200, exchange.status)
+
     @run
     async def test_broken_stream_goes_on_elsewhere(self):
         def breaks(seen):
