A failed attempt counts as a slow answer in placement

Cause: a server that cuts its answers at once looked fast, since only the time to the head of its answer was counted, and drew plain requests until three in a row had failed; a new VM's retry budget covers one of them. Ruled out: leaving the server out after one failure, as a server that spoils 2% of its answers would be left out most of the time. Now each failure adds 0.5 s to the latency that placement assumes, halving with each second, so that a healed server is tried again after some seconds. Before: test_server_that_fails_fast_is_not_preferred red (502 for 200).

--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -285,7 +285,7 @@
                     work.request, dispatch, may_repeat
                 )
         except curio.errors.TaskTimeout:
-            self.outliers.failed(server, time.monotonic())
+            self.sender.failed(server)
             return sending.Broken('silent')
         work.settle(outcome, was_run)
         return outcome
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -215,7 +215,7 @@
                     work.request, dispatch, True
                 )
         except curio.errors.TaskTimeout:
-            gateway.outliers.failed(server, time.monotonic())
+            gateway.sender.failed(server)
             raise refusals.too_late(work, gateway.retry_after_s())
         match outcome:
             case sending.Whole(answer, body) if answer.is_success:
--- a/src/mangorock/placement.py
+++ b/src/mangorock/placement.py
@@ -57,6 +57,9 @@
 FAR_PENALTY = 1.15
 LATENCY_WEIGHT = 0.2  # Of the newest latency in the average.
 FIRST_LATENCY_S = 0.05  # Assumed of a server without an answer yet.
+# Added to the latency of a server whose answer failed, as its request had to
+# be sent again or was lost; halves with each second.
+FAILURE_S = 0.5
 
 
 @attrs.define
@@ -70,6 +73,8 @@
     gap_s: float = 0.0
     gap_at_s: float = 0.0
     latency_s: float = 0.0
+    failure_s: float = 0.0
+    failed_at_s: float = 0.0
     report: object = None
     reported_s: float = 0.0
 
@@ -152,6 +157,16 @@
             load.report = report
             load.reported_s = now
 
+    def on_failure(self, server, now):
+        """Take that an answer failed: a fast failure is no fast server."""
+        load = self.load(server)
+        load.failure_s = FAILURE_S + self._failure_s(load, now)
+        load.failed_at_s = now
+
+    @staticmethod
+    def _failure_s(load, now):
+        return load.failure_s * 0.5 ** (now - load.failed_at_s)
+
     def forget(self, lives):
         """Keep only the loads of ``lives`` and of those in use."""
         self.loads = {
@@ -177,7 +192,8 @@
         if load.report is not None and now - load.reported_s < REPORT_VALID_S:
             report = load.report
             queue += max(0, report.running + report.waiting - report.slots / 2)
-        cost = queue * (load.latency_s or FIRST_LATENCY_S)
+        latency_s = load.latency_s or FIRST_LATENCY_S
+        cost = queue * (latency_s + self._failure_s(load, now))
         is_near = server.failure_domain == self.failure_domain
         return cost if is_near else cost * FAR_PENALTY
 
--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -201,9 +201,15 @@
         return self.wire.decode_answer(exchange.status, exchange.raw_headers)
 
     def _broken(self, dispatch, error):
-        self.outliers.failed(dispatch.server, time.monotonic())
+        self.failed(dispatch.server)
         return Broken(str(error) or repr(error))
 
+    def failed(self, server):
+        """Take note of an attempt that broke or was given up."""
+        now = time.monotonic()
+        self.outliers.failed(server, now)
+        self.placer.on_failure(server, now)
+
     async def _close(self, exchange, dispatch):
         self._count_out(dispatch)
         await self.client.release(exchange)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -279,6 +279,16 @@
         placed = placer.place_plain([slow, fast], 80, 0.0)
         self.assertEqual('w2', placed.server_id)
 
+    def test_server_that_fails_fast_is_passed_over_for_some_seconds(self):
+        placer = placement.Placer('a')
+        broken, sound = make_server('s1'), make_server('s2')
+        placer.on_answer(broken, None, 0.001, 0.0)
+        placer.on_failure(broken, 0.0)
+        placer.on_answer(sound, None, 0.05, 0.0)
+        for now, expected in ((0.1, sound), (2.0, sound), (6.0, broken)):
+            placed = placer.place_plain([broken, sound], 80, now)
+            self.assertIs(expected, placed)
+
     def test_connections_are_shared_among_the_vms(self):
         placer, server = placement.Placer('a'), make_server('w1')
         for _ in range(10):
