One VM places the long prompts of all: scheduler and consultation

A VM sees one eighth of the prompts (one 88th on the grown site), so it knew neither the engines' queues nor which engine had read a document: short prompts stood 23 deep behind a document read again at a decode engine, and 0.96 million tokens were read again. Change: each service has one VM, chosen by hashing among those that the store lists, that is asked over UDP where a long prompt goes. It knows all queues, paces and kept documents; a prompt that can be in time goes where it is read first, one that cannot waits for a short queue. Answers are advice: without one in 40 ms a VM places by itself.

--- /dev/null
+++ b/src/mangorock/consultation.py
@@ -0,0 +1,233 @@
+"""Asks one entry VM to place the long prompts of all, over UDP.
+
+For each service the VMs of a region are ranked by hashing, the same at all
+of them, and the first that answers schedules.  No VM is elected and nothing
+is agreed: an answer is advice, and a VM that gets none in time places the
+prompt by itself.  So a cut, a frozen VM or a lost datagram costs a request
+`REPLY_S` at the most, and only the first request in `SILENT_S`.
+
+A datagram is a JSON list: the kind of message, a number that an answer
+repeats, and the fields of a class of ``scheduler``.
+"""
+
+import itertools
+import socket
+import time
+
+import attrs
+import curio
+import curio.io
+import orjson
+
+from mangorock import logs
+from mangorock import membership
+from mangorock import scheduler
+
+# Ten round trips between failure domains, and less than a read prompt.
+REPLY_S = 0.04
+# How long a VM that did not answer is passed over.
+SILENT_S = 2.0
+MAX_DATAGRAM_BYTES = 2048
+MESSAGES = {
+    kind.__name__: kind
+    for kind in (
+        scheduler.Ask,
+        scheduler.Assignment,
+        scheduler.Busy,
+        scheduler.Hopeless,
+        scheduler.Notice,
+    )
+}
+
+
+@attrs.frozen
+class Peer:
+    """Another entry VM; ``address`` is (host, port)."""
+
+    vm: str
+    region: str
+    address: tuple
+
+
+def encode(number, message):
+    """Return the datagram of a message."""
+    fields = attrs.asdict(message)
+    return orjson.dumps([type(message).__name__, number, fields])
+
+
+def decode(data):
+    """Return (number, message), or raise `ValueError`."""
+    try:
+        kind, number, fields = orjson.loads(data)
+        return number, MESSAGES[kind](**fields)
+    except (ValueError, TypeError, KeyError) as exc:
+        raise ValueError(f'no message of a VM: {exc!r}')
+
+
+def encode_peer(region, address):
+    """Return how a VM says in its key where it hears from others."""
+    return orjson.dumps([region, *address])
+
+
+def decode_peer(item):
+    """Return the `Peer` in a VM's key, None if it names no address."""
+    if not item.value:
+        return None
+    try:
+        region, host, port = orjson.loads(item.value)
+        socket.inet_aton(host)
+        return Peer(item.key.rpartition('/')[2], str(region), (host, port))
+    except (ValueError, TypeError, OSError) as exc:
+        logs.warning('vm_malformed', key=item.key, error=repr(exc))
+        return None
+
+
+@attrs.define
+class Directory:
+    """Who schedules a service, as this VM believes; a state machine."""
+
+    vm: str
+    region: str
+    peers: dict = attrs.field(factory=dict)
+    silent_until_s: dict = attrs.field(factory=dict)
+
+    def take(self, peers):
+        """Take the VMs that were counted, this one among them or not."""
+        self.peers = {
+            peer.vm: peer for peer in peers if peer.region == self.region
+        }
+
+    def scheduler_of(self, service, now):
+        """Return the `Peer` that schedules, or None if this VM does."""
+        vms = {
+            vm for vm in self.peers if self.silent_until_s.get(vm, 0.0) <= now
+        }
+        first = membership.rank(service, vms | {self.vm})[0]
+        return None if first == self.vm else self.peers[first]
+
+    def on_silence(self, vm, now):
+        """Pass a VM over for a while."""
+        self.silent_until_s[vm] = now + SILENT_S
+
+
+class Consultant:
+    """Asks and answers; one for each VM, with `start` and `close`.
+
+    ``schedulers(service)`` returns the `scheduler.Scheduler` of a service
+    here, or None where no engine is known; ``servers(service)`` the servers
+    that may be used.
+    """
+
+    def __init__(self, directory, schedulers, servers):
+        self.directory = directory
+        self.schedulers = schedulers
+        self.servers = servers
+        self.numbers = itertools.count(1)
+        self.waiting = {}
+        self.plain = None
+        self.sock = None
+        self.task = None
+
+    async def start(self, address):
+        """Listen at ``address``."""
+        self.plain = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.plain.bind(address)
+        self.sock = curio.io.Socket(self.plain)
+        self.task = await curio.spawn(self._receive, daemon=True)
+
+    async def close(self):
+        """Stop listening; may be called twice."""
+        if self.task is not None:
+            await self.task.cancel()
+            await self.sock.close()
+            self.task = None
+
+    async def ask(self, ask):
+        """Return what the scheduler says, None where nobody does."""
+        now = time.monotonic()
+        peer = self.directory.scheduler_of(ask.service, now)
+        if peer is None:
+            return self._place(ask)
+        number = next(self.numbers)
+        answer = self.waiting[number] = Answer()
+        self._send(number, ask, peer.address)
+        try:
+            async with curio.ignore_after(REPLY_S):
+                await answer.event.wait()
+        finally:
+            del self.waiting[number]
+        if not answer.event.is_set():
+            self.directory.on_silence(peer.vm, now)
+            logs.event(
+                'scheduler_silent',
+                request=ask.request_id,
+                service=ask.service,
+                vm=peer.vm,
+                waited_s=time.monotonic() - now,
+            )
+        return answer.message
+
+    def tell(self, notice):
+        """Tell the scheduler what became of a prompt; may be lost."""
+        peer = self.directory.scheduler_of(notice.service, time.monotonic())
+        if peer is None:
+            self._take(notice)
+        else:
+            self._send(0, notice, peer.address)
+
+    def _send(self, number, message, address):
+        try:
+            # Never waits: a full queue drops the datagram like a full link.
+            self.plain.sendto(encode(number, message), address)
+        except OSError as exc:
+            logs.debug('datagram_not_sent', to=address[0], error=repr(exc))
+
+    async def _receive(self):
+        while True:
+            try:
+                data, sender = await self.sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError as exc:
+                # Linux reports here that an earlier datagram met no socket.
+                logs.debug('datagram_refused', error=repr(exc))
+                continue
+            try:
+                number, message = decode(data)
+            except ValueError as exc:
+                logs.warning('datagram_malformed', sender=sender, error=exc)
+                continue
+            await self._handle(number, message, sender)
+
+    async def _handle(self, number, message, sender):
+        match message:
+            case scheduler.Ask():
+                answer = self._place(message)
+                if answer is not None:
+                    self._send(number, answer, sender)
+            case scheduler.Notice():
+                self._take(message)
+            case _:
+                waiting = self.waiting.get(number)
+                if waiting is not None:
+                    waiting.message = message
+                    await waiting.event.set()
+
+    def _place(self, ask):
+        found = self.schedulers(ask.service)
+        if found is None:
+            return None
+        servers = self.servers(ask.service)
+        return found.place(ask, servers, time.monotonic())
+
+    def _take(self, notice):
+        found = self.schedulers(notice.service)
+        if found is not None:
+            servers = self.servers(notice.service)
+            found.take(notice, servers, time.monotonic())
+
+
+@attrs.define(eq=False)
+class Answer:
+    """An answer that is awaited."""
+
+    event: curio.Event = attrs.field(factory=curio.Event)
+    message: object = None
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -14,6 +14,7 @@
 import curio.errors
 
 from mangorock import client as clients
+from mangorock import consultation
 from mangorock import errors
 from mangorock import exposition
 from mangorock import gateway as gateways
@@ -41,7 +42,8 @@
     """What the daemon learns from its settings file.
 
     Addresses are (host, port); ``metrics_address`` may be None.
-    ``grace_s`` is the time between SIGTERM and SIGKILL.
+    ``grace_s`` is the time between SIGTERM and SIGKILL.  Other VMs of
+    ``region`` reach this one at ``peer_address`` (None: not at all).
     """
 
     vm: str
@@ -51,6 +53,8 @@
     store_address: str
     grace_s: float
     metrics_address: tuple | None = None
+    peer_address: tuple | None = None
+    region: str = ''
 
 
 class Front:
@@ -130,14 +134,7 @@
             self._take_changes,
             self.rng,
         )
-        await self.spawn(presence.announce, store, settings.vm, self.rng)
-        await self.spawn(
-            presence.count,
-            store,
-            presence.Census(self.gateway.placer.vms),
-            self.gateway.share_with,
-            self.rng,
-        )
+        await self._join_vms(store)
         await self.spawn(self._prune)
         logs.event(
             'started',
@@ -145,6 +142,37 @@
             failure_domain=settings.failure_domain,
         )
 
+    async def _join_vms(self, store):
+        """Make this VM known to the others, and learn of them."""
+        settings = self.settings
+        self.directory = consultation.Directory(settings.vm, settings.region)
+        value = b''
+        if settings.peer_address is not None:
+            value = consultation.encode_peer(
+                settings.region, settings.peer_address
+            )
+            self.gateway.consultant = consultation.Consultant(
+                self.directory,
+                self.gateway.scheduler,
+                self.gateway.sound_servers,
+            )
+            await self.gateway.consultant.start(settings.peer_address)
+        await self.spawn(
+            presence.announce, store, settings.vm, value, self.rng
+        )
+        await self.spawn(
+            presence.count,
+            store,
+            presence.Census(self.gateway.placer.vms),
+            self._take_vms,
+            self.rng,
+        )
+
+    def _take_vms(self, vms, items):
+        self.gateway.share_with(vms)
+        found = map(consultation.decode_peer, items)
+        self.directory.take([peer for peer in found if peer is not None])
+
     async def spawn(self, function, *args):
         """Start a task that `close` ends."""
         self.tasks.append(await curio.spawn(function, *args, daemon=True))
@@ -248,11 +276,7 @@
         """Forget what is over, for ever."""
         while True:
             await curio.sleep(PRUNE_INTERVAL_S)
-            gateway = self.gateway
-            gateway.registry.forget(time.monotonic())
-            lives = {s.life for s in gateway.registry.servers.values()}
-            gateway.placer.forget(lives)
-            gateway.outliers.forget(lives)
+            self.gateway.forget(time.monotonic())
             await self.client.prune()
 
     async def _answer_probe(self, request, responder):
@@ -295,6 +319,8 @@
         """Cancel the tasks in reverse order; may be called twice."""
         while self.tasks:
             await self.tasks.pop().cancel()
+        if self.gateway.consultant is not None:
+            await self.gateway.consultant.close()
         await self.client.close()
 
 
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -23,6 +23,7 @@
 from mangorock import placement
 from mangorock import refusals
 from mangorock import registry as registries
+from mangorock import scheduler
 from mangorock import sending
 from mangorock import traffic
 from mangorock import waiting
@@ -110,6 +111,8 @@
         factory=outliers_module.Outliers
     )
     sender: sending.Sender = attrs.field(init=False)
+    schedulers: dict = attrs.field(factory=dict)
+    consultant: object = None
     stops_at_s: float | None = None
 
     def __attrs_post_init__(self):
@@ -236,14 +239,48 @@
 
     def servers(self, work):
         """Return the servers that this request may be sent to now."""
-        now = time.monotonic()
-        found = self.registry.candidates(work.service, now)
         return [
             server
-            for server in self.outliers.sound(found, now)
+            for server in self.sound_servers(work.service)
             if server.life not in work.tried
         ]
 
+    def sound_servers(self, service):
+        """Return the servers of a service that are worth trying now."""
+        now = time.monotonic()
+        found = self.registry.candidates(service, now)
+        return self.outliers.sound(found, now)
+
+    def scheduler(self, service):
+        """Return the `scheduler.Scheduler` kept here for a service.
+
+        None where the configuration names no engines.
+        """
+        known = self.catalog.services.get(service)
+        if known is None or known.engine is None:
+            return None
+        found = self.schedulers.get(service)
+        if found is None:
+            logs.event('scheduling_began', service=service)
+            found = scheduler.Scheduler(known.engine.kv_tokens)
+            self.schedulers[service] = found
+        return found
+
+    async def consult(self, ask):
+        """Return what the scheduler of all VMs says, None without one."""
+        if self.consultant is None:
+            return None
+        return await self.consultant.ask(ask)
+
+    def forget(self, now):
+        """Forget what is known of lives that are over."""
+        self.registry.forget(now)
+        lives = {s.life for s in self.registry.servers.values()}
+        self.placer.forget(lives)
+        self.outliers.forget(lives)
+        for found in self.schedulers.values():
+            found.forget(lives)
+
     async def _serve_plain(self, work, service):
         while True:
             server = await self.wait(
@@ -331,6 +368,18 @@
             budget=self.budget.units,
         )
 
+    def log_assignment(self, work, assignment):
+        """Log where the scheduler of all VMs put a prompt."""
+        logs.event(
+            'prompt_assigned',
+            request=work.request.request_id,
+            decode=assignment.decode,
+            prefill=assignment.prefill,
+            fetch_from=assignment.fetch_from,
+            tokens=assignment.tokens,
+            expected_s=assignment.expected_s,
+        )
+
     def next_try(self, work, server, outcome):
         """Allow one more send, or raise why there is none."""
         route = work.route
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -16,6 +16,7 @@
 from mangorock import metrics
 from mangorock import placement
 from mangorock import refusals
+from mangorock import scheduler
 from mangorock import sending
 
 # A stream that may be resumed is given up when it was silent for so many
@@ -26,6 +27,7 @@
 # Left of the caller's patience for the decode of a prefilled prompt.
 DECODE_S = 0.1
 MAX_PREFILLS = 2
+NOT_READ = -1.0  # Told instead of seconds where a prompt was not read.
 
 
 @attrs.define
@@ -39,11 +41,12 @@
     since_s: float = attrs.field(factory=time.monotonic)
 
     def done(self):
-        """The prompt was read."""
+        """Take that the prompt was read; return how long it took."""
+        seconds = time.monotonic() - self.since_s
         if self.tokens:
-            seconds = time.monotonic() - self.since_s
             self.placer.on_read(self.server, self.tokens, seconds)
         self.end()
+        return seconds
 
     def __attrs_post_init__(self):
         self.placer.on_reading(self.server, self.tokens)
@@ -65,23 +68,27 @@
     reply: object
     splitter: events.EventSplitter
     is_caller_gone: bool = False
-    reading: object = None
     placer: object = None
     server: object = None
+    on_first: object = None
     last_s: float = 0.0
 
-    def follow(self, placer, server, reading):
-        """Go on with the events of a server."""
-        self.placer, self.server, self.reading = placer, server, reading
+    def follow(self, placer, server, on_first):
+        """Go on with the events of a server.
+
+        ``on_first(answer)`` is called once, at the first of them.
+        """
+        self.placer, self.server, self.on_first = placer, server, on_first
         self.last_s = 0.0
 
     async def feed(self, answer, data):
         """Write whole events; the first one says that the prompt is read."""
         now = time.monotonic()
-        self.reading.done()
         self.work.first_s = self.work.first_s or now
         if self.last_s:
             self.placer.on_gap(self.server, now - self.last_s, now)
+        else:
+            self.on_first(answer)
         self.last_s = now
         try:
             if not self.reply.is_started:
@@ -109,16 +116,18 @@
     relay: Relay
     prefills: int = 0
     reading: Reading | None = None
+    is_scheduled: bool = False
 
     async def run(self):
         """Serve the request; return how it ended, for the log."""
         gateway, work = self.gateway, self.work
         while True:
-            placed = await gateway.wait(work, self._place)
+            placed = await self._find_place()
             work.place(placed.servers)
             try:
                 outcome = await self._attempt(placed)
             finally:
+                self._tell(NOT_READ)
                 await gateway.wake(work.service)
             gateway.log_attempt(work, placed.decode, outcome)
             match outcome:
@@ -131,6 +140,86 @@
             self.relay.splitter.restart()
             gateway.next_try(work, placed.decode, outcome)
 
+    async def _find_place(self):
+        """Return a `placement.Placement`, long prompts by the scheduler's."""
+        prompt = self.work.request.prompt
+        if prompt is not None and prompt.tokens >= placement.LONG_TOKENS:
+            placed = await self._consult()
+            if placed is not None:
+                return placed
+        return await self.gateway.wait(self.work, self._place)
+
+    async def _consult(self):
+        """Return the placement that is advised, None where nobody advises.
+
+        Raises `errors.Overloaded` where no engine is in time.
+        """
+        gateway, work = self.gateway, self.work
+        target_at_s = work.request.received_s + work.route.target_s
+        while True:
+            left_s = target_at_s - time.monotonic()
+            answer = await gateway.consult(self._ask(left_s))
+            match answer:
+                case scheduler.Assignment():
+                    self.is_scheduled = True
+                    return self._follow(answer)
+                case scheduler.Busy() if left_s > 0:
+                    await curio.sleep(answer.wait_s)
+                case scheduler.Busy():
+                    raise refusals.overloaded(work, gateway.retry_after_s())
+                case scheduler.Hopeless():
+                    raise refusals.too_late(work, gateway.retry_after_s())
+                case _:
+                    return None
+
+    def _ask(self, target_left_s):
+        work, prompt = self.work, self.work.request.prompt
+        return scheduler.Ask(
+            service=work.service,
+            request_id=work.request.request_id,
+            document=prompt.shared_key,
+            shared_tokens=prompt.shared_tokens,
+            own_tokens=prompt.tokens - prompt.shared_tokens,
+            max_gap_s=work.route.max_gap_s,
+            target_left_s=target_left_s,
+            left_s=self._left_s(),
+            tried=[server_id for server_id, _ in work.tried],
+        )
+
+    def _follow(self, assignment):
+        """Return the placement in an `Assignment`, None if it will not do.
+
+        The scheduler's register may be older than this VM's.
+        """
+        gateway, work = self.gateway, self.work
+        usable = {s.server_id: s for s in gateway.servers(work)}
+        decode = usable.get(assignment.decode)
+        prefill = usable.get(assignment.prefill)
+        gateway.log_assignment(work, assignment)
+        if decode is None or (assignment.prefill and prefill is None):
+            self._tell(NOT_READ)
+            return None
+        home = usable.get(assignment.fetch_from)
+        return placement.Placement(decode, prefill, assignment.tokens, home)
+
+    def _tell(self, seconds, decode='', load=None):
+        """Tell the scheduler what became of the prompt, once for each end."""
+        if not self.is_scheduled:
+            return
+        self.is_scheduled = bool(load is None and seconds != NOT_READ)
+        work = self.work
+        notice = scheduler.Notice(
+            work.service, work.request.request_id, seconds, decode
+        )
+        if load is not None:
+            notice = attrs.evolve(
+                notice,
+                running=load.running,
+                waiting=load.waiting,
+                slots=load.slots,
+            )
+        self.gateway.consultant.tell(notice)
+
     def _place(self):
         gateway, work = self.gateway, self.work
         servers = gateway.servers(work)
@@ -171,8 +260,8 @@
                 self.work.read_s = time.monotonic()
                 if handle is None:
                     return sending.Unsent('the prompt was not read')
-                self.reading.done()
-            self.relay.follow(placer, placed.decode, self.reading)
+                self._tell(self.reading.done())
+            self.relay.follow(placer, placed.decode, self._on_first)
             outcome = await self._decode(placed, handle)
             is_taken = isinstance(outcome, sending.Streamed)
             return outcome
@@ -183,6 +272,11 @@
                     self.gateway.sender.free, handle, daemon=True
                 )
 
+    def _on_first(self, answer):
+        """Take the first event: the prompt is read, and a load was told."""
+        seconds = self.reading.done()
+        self._tell(seconds, self.relay.server.server_id, answer.load)
+
     async def _prefill(self, placed):
         """Return a `traffic.Handle`, or None to decode without one."""
         gateway = self.gateway
--- a/src/mangorock/placement.py
+++ b/src/mangorock/placement.py
@@ -203,8 +203,8 @@
         All pairs of a decode engine and a way to read the prompt are
         compared by the time to the first event and the pauses behind it.
         """
-        decodes = [s for s in servers if _is_at(s, registry.Stage.DECODE)]
-        prefills = [s for s in servers if _is_at(s, registry.Stage.PREFILL)]
+        decodes = [s for s in servers if not s.is_prefill_only]
+        prefills = [s for s in servers if s.is_prefill_only]
         home = self._home(demand.prompt, decodes)
         ways = []
         for decode in decodes:
@@ -241,8 +241,8 @@
             in_flight += self.load(way.prefill).in_flight
         return (
             way.wait_s + PLACE_S * in_flight,
-            _weight(key, way.prefill or way.decode),
-            _weight(key, way.decode),
+            weight(key, way.prefill or way.decode),
+            weight(key, way.decode),
         )
 
     @staticmethod
@@ -251,7 +251,7 @@
         if prompt.shared_tokens < LONG_TOKENS or not decodes:
             return None
         key = prompt.shared_key
-        return max(decodes, key=lambda server: _weight(key, server))
+        return max(decodes, key=lambda server: weight(key, server))
 
     def _gap_s(self, server, now):
         load = self.load(server)
@@ -260,7 +260,7 @@
     def _read_s(self, server, demand, now):
         """Return the expected seconds until the prompt is read."""
         tokens = self._backlog(server, now) + demand.tokens_to_read
-        return self.load(server).pace * tokens / _rate(server)
+        return self.load(server).pace * tokens / rate(server)
 
     def _backlog(self, server, now):
         """Return the tokens that a server has still to read, of all VMs.
@@ -271,11 +271,11 @@
         """
         load = self.load(server)
         guess = load.reading * self.vms * OTHERS_SHARE
-        if load.report is None or _is_at(server, registry.Stage.DECODE):
+        if load.report is None or not server.is_prefill_only:
             return guess
         prompts = max(0, load.report.running + load.report.waiting - 1)
         told = prompts * load.prompt_tokens
-        passed = (now - load.reported_s) * _rate(server) / load.pace
+        passed = (now - load.reported_s) * rate(server) / load.pace
         return max(guess, told - passed)
 
     def _may_read(self, server, demand, limit, now):
@@ -307,7 +307,7 @@
         load = self.load(server)
         load.prompt_tokens += PACE_WEIGHT * (tokens - load.prompt_tokens)
         others = max(0, load.reading - tokens) * self.vms * OTHERS_SHARE
-        ratio = seconds / (FIRST_EVENT_S + (others + tokens) / _rate(server))
+        ratio = seconds / (FIRST_EVENT_S + (others + tokens) / rate(server))
         ratio = min(MAX_PACE, max(MIN_PACE, ratio))
         load.pace += PACE_WEIGHT * (ratio - load.pace)
 
@@ -316,8 +316,9 @@
         self.load(server).reading += tokens
 
 
-def _rate(server):
-    if _is_at(server, registry.Stage.DECODE):
+def rate(server):
+    """Return how many tokens of prompts an average engine reads a second."""
+    if not server.is_prefill_only:
         return DECODE_TOKENS_PER_S
     return PREFILL_TOKENS_PER_S
 
@@ -327,11 +328,7 @@
     return 0.5 ** max(0.0, age_s - 1.0)
 
 
-def _is_at(server, stage):
-    # A server that tells no stage does both, as a decode engine does.
-    return (server.stage or registry.Stage.DECODE) is stage
-
-
-def _weight(key, server):
+def weight(key, server):
+    """Return the rendezvous weight of a server for ``key``."""
     text = f'{key}/{server.server_id}'.encode()
     return hashlib.blake2b(text, digest_size=8).digest()
--- a/src/mangorock/presence.py
+++ b/src/mangorock/presence.py
@@ -1,7 +1,8 @@
-"""How many entry VMs share the backend servers.
+"""Which entry VMs there are.
 
-Each VM keeps a key under a lease in the platform's store and now and then
-counts the keys of all.  Shares of limits follow from the count.  Answers
+Each VM keeps a key under a lease in the platform's store, whose value says
+where it hears from others, and now and then reads the keys of all.  Shares
+of limits follow from their number.  Answers
 the pattern of a store that was away: leases lapse together and the keys
 come back one after the other, so a smaller count is believed only once it
 has held for `COUNTS_TO_SHRINK` counts.
@@ -55,14 +56,14 @@
         return max(1, *self.recent)
 
 
-async def announce(store, vm, rng):
-    """Keep this VM's key alive, for ever."""
+async def announce(store, vm, value, rng):
+    """Keep this VM's key alive, for ever; ``value`` is bytes."""
     lease = None
     while True:
         try:
             if lease is None:
                 lease = await store.grant_lease(LEASE_S)
-                await store.put(PREFIX + vm, b'', lease)
+                await store.put(PREFIX + vm, value, lease)
                 logs.event('presence_announced', lease=lease)
             else:
                 await store.keep_lease(lease)
@@ -78,26 +79,30 @@
 
 
 async def count(store, census, take, rng):
-    """Count the VMs, for ever; ``take(vms)`` gets each result."""
+    """Read the keys, for ever.
+
+    ``take(vms, items)`` gets the number of VMs to share with and the
+    `mirror.Item` of each key, named by its VM.
+    """
     while True:
         await curio.sleep(COUNT_INTERVAL_S * (0.75 + 0.5 * rng.random()))
         try:
-            counted = await count_once(store)
+            items = await read_once(store)
         except errors.MangorockError as exc:
             logs.debug('vms_not_counted', error=exc.message)
             continue
         before = census.vms
-        if census.take(counted) != before:
-            logs.event('vms_counted', vms=census.vms, counted=counted)
-        take(census.vms)
+        if census.take(len(items)) != before:
+            logs.event('vms_counted', vms=census.vms, counted=len(items))
+        take(census.vms, items)
 
 
-async def count_once(store):
-    """Return the number of keys; they may be seconds old."""
-    counted, after = 0, ''
+async def read_once(store):
+    """Return the items of all keys; they may be seconds old."""
+    items, after = [], ''
     while True:
         page = await store.list_page(PREFIX, after, is_stale_allowed=True)
-        counted += len(page.items)
+        items += page.items
         if not page.has_more or not page.items:
-            return counted
+            return items
         after = page.items[-1].key
--- a/src/mangorock/registry.py
+++ b/src/mangorock/registry.py
@@ -47,6 +47,11 @@
         """Return what distinguishes this life from any other."""
         return self.server_id, self.born_ms
 
+    @property
+    def is_prefill_only(self):
+        """Say whether it streams nothing; one without a stage does both."""
+        return self.stage is Stage.PREFILL
+
 
 @attrs.define
 class Registry:
--- /dev/null
+++ b/src/mangorock/scheduler.py
@@ -0,0 +1,377 @@
+"""Places the long prompts of all entry VMs on the engines of one service.
+
+A VM that places long prompts alone sees only its own: one in some seconds
+where there are many VMs.  It cannot know how long each engine's queue is,
+nor which engine has read a document before.  So one VM, chosen by hashing,
+does it for all (see ``consultation``).  It answers three patterns:
+
+* long prompts come faster than engines read them: each goes where it is
+  read first, and one that can no longer be in time gets its turn only while
+  the queues are short, so that it does not make others late as well;
+* prompts share documents: an engine that keeps the document reads the rest
+  alone, and any other fetches the document from it;
+* engines differ in speed: each one's pace is learnt from all its prompts.
+
+What it knows is advice.  It may be lost at any time: a VM without it places
+by itself, and two VMs that do it at once only place less well.
+"""
+
+import collections
+
+import attrs
+
+from mangorock import placement
+from mangorock import registry
+
+# From the end of reading to the first event at the caller, in seconds.
+FIRST_EVENT_S = 0.05
+# A hand-over to a decode engine adds this much, in seconds.
+HANDOVER_S = 0.01
+# An engine that lacks the document must be this much better, in seconds,
+# since a copy drives other documents out.
+COPY_S = 0.02
+# Queue behind which a prompt that will be late still gets a place; about
+# half of the time to the first token that users ask for.
+LATE_QUEUE_S = 0.3
+# The part of the longest allowed pause that a decode engine may spend on
+# reading one long prompt between the events of its streams.
+DIRECT_GAP_SHARE = 0.4
+# The part of an engine's memory that keeps what was read before; runs and
+# short prompts take the rest.
+KEPT_SHARE = 0.8
+PACE_WEIGHT = 0.2  # Of the newest prompt in an engine's pace.
+MIN_PACE, MAX_PACE = 0.4, 4.0
+# A prompt whose end was not told counts no longer than this, in seconds.
+EXPIRE_S = 4.0
+# How soon a prompt without a place may ask again, in seconds.
+ASK_AGAIN_S = 0.06
+# A stream sent to a decode engine counts until its load is told, or so long.
+STREAM_S = 1.0
+# Each stream beyond an engine's places, and each one on it, in seconds.
+OVERFULL_S = 0.02
+STREAM_COST_S = 0.001
+
+_text = attrs.validators.instance_of(str)
+_number = attrs.validators.instance_of((int, float))
+_texts = attrs.validators.deep_iterable(_text)
+
+
+@attrs.frozen
+class Ask:
+    """A long prompt that wants a place.
+
+    ``document`` is the part that others share, of ``shared_tokens``;
+    ``own_tokens`` come behind it.  ``target_left_s`` and ``left_s`` are the
+    seconds until its first event is late, and until its caller leaves.
+    ``tried`` are the ids of servers not to be used.
+    """
+
+    service: str = attrs.field(validator=_text)
+    request_id: str = attrs.field(validator=_text)
+    document: str = attrs.field(validator=_text)
+    shared_tokens: int = attrs.field(validator=_number)
+    own_tokens: int = attrs.field(validator=_number)
+    max_gap_s: float = attrs.field(validator=_number)
+    target_left_s: float = attrs.field(validator=_number)
+    left_s: float = attrs.field(validator=_number)
+    tried: tuple = attrs.field(validator=_texts, converter=tuple, default=())
+
+
+@attrs.frozen
+class Assignment:
+    """Where a prompt goes, by server ids.
+
+    ``prefill`` is '' where the decode engine reads it, ``fetch_from`` is ''
+    or the engine whose copy of the document is fetched.  ``tokens`` are
+    left to read, expected to be done in ``expected_s``.
+    """
+
+    decode: str = attrs.field(validator=_text)
+    prefill: str = attrs.field(validator=_text)
+    fetch_from: str = attrs.field(validator=_text)
+    tokens: int = attrs.field(validator=_number)
+    expected_s: float = attrs.field(validator=_number)
+
+
+@attrs.frozen
+class Busy:
+    """No place now; ask again after ``wait_s``."""
+
+    wait_s: float = attrs.field(validator=_number)
+
+
+@attrs.frozen
+class Hopeless:
+    """No engine can read the prompt before its caller leaves."""
+
+    best_s: float = attrs.field(validator=_number)
+
+
+@attrs.frozen
+class Notice:
+    """A prompt was read in ``seconds``, or (-1) will not be.
+
+    ``decode`` and the three numbers behind it tell the load of the engine
+    that streams it; ``slots`` is 0 where it told none.
+    """
+
+    service: str = attrs.field(validator=_text)
+    request_id: str = attrs.field(validator=_text)
+    seconds: float = attrs.field(validator=_number)
+    decode: str = attrs.field(validator=_text, default='')
+    running: int = attrs.field(validator=_number, default=0)
+    waiting: int = attrs.field(validator=_number, default=0)
+    slots: int = attrs.field(validator=_number, default=0)
+
+
+@attrs.define
+class Kept:
+    """What an engine keeps of documents: the last recently used yield.
+
+    Example::
+
+        kept = Kept(capacity=100)
+        kept.touch('a', 60, since_s=0.5)
+        kept.touch('b', 60, since_s=0.7)     # drives a out
+        kept.has('b', now=0.6)               # False: it is read until 0.7
+    """
+
+    capacity: float
+    tokens: float = 0.0
+    parts: collections.OrderedDict = attrs.field(
+        factory=collections.OrderedDict
+    )
+
+    def touch(self, part, tokens, since_s):
+        """Take that a part was used; it is there ``since_s`` at the latest."""
+        known, known_since_s = self.parts.pop(part, (0, since_s))
+        self.parts[part] = tokens, min(since_s, known_since_s)
+        self.tokens += tokens - known
+        while self.tokens > self.capacity and len(self.parts) > 1:
+            _, (dropped, _) = self.parts.popitem(last=False)
+            self.tokens -= dropped
+
+    def has(self, part, now):
+        """Say whether others may fetch the part."""
+        found = self.parts.get(part)
+        return found is not None and found[1] <= now
+
+
+@attrs.frozen
+class Job:
+    """A prompt being read: what it costs, and when it was expected."""
+
+    life: tuple
+    cost_s: float
+    expected_s: float
+    since_s: float
+
+
+@attrs.define
+class Engine:
+    """What is known of one life of an engine."""
+
+    kept: Kept
+    pace: float = 1.0
+    free_at_s: float = 0.0
+    jobs: dict = attrs.field(factory=dict)
+    streams: list = attrs.field(factory=list)
+    running: int = 0
+    slots: int = 0
+
+    def count_streams(self, now):
+        """Return the streams told, and those sent since."""
+        self.streams = [s for s in self.streams if now - s < STREAM_S]
+        return self.running + len(self.streams)
+
+
+@attrs.frozen
+class Way:
+    """A reader and a decode engine, and how long reading will take."""
+
+    reader: registry.BackendServer
+    decode: registry.BackendServer
+    fetch_from: registry.BackendServer | None
+    tokens: int
+    cost_s: float
+    finish_s: float
+    rank_s: float
+
+
+@attrs.define
+class Scheduler:
+    """The queues and kept documents of one service; a state machine.
+
+    ``kv_tokens`` is the memory of one engine.  Servers are those that may
+    be used, from this VM's own register.
+    """
+
+    kv_tokens: int
+    engines: dict = attrs.field(factory=dict)
+    jobs: dict = attrs.field(factory=dict)
+
+    def engine(self, server):
+        """Return the `Engine` of a life."""
+        found = self.engines.get(server.life)
+        if found is None:
+            kept = Kept(KEPT_SHARE * self.kv_tokens)
+            found = self.engines[server.life] = Engine(kept)
+        return found
+
+    def place(self, ask, servers, now):
+        """Return an `Assignment`, `Busy` or `Hopeless`; None if no engine."""
+        self._expire(now)
+        servers = [s for s in servers if s.server_id not in ask.tried]
+        best = self._best(ask, servers, now)
+        if best is None:
+            return None
+        finish_s = best.finish_s + FIRST_EVENT_S
+        if finish_s <= ask.target_left_s:
+            return self._assign(ask, best, now)
+        if best.cost_s + FIRST_EVENT_S > ask.left_s:
+            return Hopeless(best.cost_s)
+        is_queue_short = best.finish_s - best.cost_s <= LATE_QUEUE_S
+        if is_queue_short and finish_s <= ask.left_s:
+            return self._assign(ask, best, now)
+        return Busy(ASK_AGAIN_S)
+
+    def _best(self, ask, servers, now):
+        decodes = [s for s in servers if not s.is_prefill_only]
+        if not decodes:
+            return None
+        holders = [
+            server
+            for server in servers
+            if self.engine(server).kept.has(ask.document, now)
+        ]
+        target = min(
+            decodes, key=lambda s: self._stream_rank(s, ask, holders, now)
+        )
+        ways = [
+            self._way(ask, server, target, holders, now)
+            for server in servers
+            if server.is_prefill_only
+        ]
+        for server in decodes:
+            way = self._way(ask, server, server, holders, now)
+            if self._may_read_direct(ask, way):
+                ways.append(way)
+        if not ways:
+            ways = [self._way(ask, target, target, holders, now)]
+        return min(ways, key=lambda way: way.rank_s)
+
+    def _stream_rank(self, server, ask, holders, now):
+        """Order decode engines for a stream, also by a hash that is stable.
+
+        The hash lets a VM that has just begun to schedule guess where the
+        one before has put a document.
+        """
+        engine = self.engine(server)
+        streams = engine.count_streams(now)
+        cost_s = STREAM_COST_S * streams
+        if engine.slots:
+            cost_s += OVERFULL_S * max(0, streams + 1 - engine.slots)
+        if server not in holders:
+            cost_s += COPY_S
+        return cost_s, placement.weight(ask.document, server)
+
+    def _way(self, ask, reader, decode, holders, now):
+        engine = self.engine(reader)
+        tokens, fetch_from = ask.own_tokens, None
+        keeps = ask.document in engine.kept.parts
+        if not keeps and holders:
+            fetch_from = _nearest(holders, reader)
+        elif not keeps:
+            tokens += ask.shared_tokens
+        cost_s = engine.pace * tokens / placement.rate(reader)
+        finish_s = max(0.0, engine.free_at_s - now) + cost_s
+        if reader is not decode:
+            finish_s += HANDOVER_S
+        rank_s = finish_s if keeps else finish_s + COPY_S
+        return Way(
+            reader, decode, fetch_from, tokens, cost_s, finish_s, rank_s
+        )
+
+    def _may_read_direct(self, ask, way):
+        """Say whether streams of the engine bear the prompt in between."""
+        limit_s = DIRECT_GAP_SHARE * ask.max_gap_s
+        return not self.engine(way.reader).jobs and way.cost_s <= limit_s
+
+    def _assign(self, ask, way, now):
+        engine, decode = self.engine(way.reader), self.engine(way.decode)
+        self._drop(ask.request_id, now)
+        engine.free_at_s = max(now, engine.free_at_s) + way.cost_s
+        job = Job(way.reader.life, way.cost_s, way.finish_s, now)
+        engine.jobs[ask.request_id] = self.jobs[ask.request_id] = job
+        done_s = now + way.finish_s
+        for keeper in (engine, decode):
+            keeper.kept.touch(ask.request_id, ask.own_tokens, done_s)
+            if ask.shared_tokens:
+                keeper.kept.touch(ask.document, ask.shared_tokens, done_s)
+        decode.streams.append(now)
+        is_direct = way.reader is way.decode
+        return Assignment(
+            decode=way.decode.server_id,
+            prefill='' if is_direct else way.reader.server_id,
+            fetch_from=way.fetch_from.server_id if way.fetch_from else '',
+            tokens=way.tokens,
+            expected_s=way.finish_s,
+        )
+
+    def take(self, notice, servers, now):
+        """Take what became of a prompt."""
+        job = self._drop(notice.request_id, now)
+        if job is not None and notice.seconds >= 0:
+            self._learn(self.engines[job.life], job, notice.seconds)
+        if not notice.slots:
+            return
+        for server in servers:
+            if server.server_id == notice.decode:
+                engine = self.engine(server)
+                engine.running = notice.running + notice.waiting
+                engine.slots = notice.slots
+                engine.streams = []
+
+    @staticmethod
+    def _learn(engine, job, seconds):
+        ratio = seconds / max(0.01, job.expected_s)
+        pace = engine.pace * (1 + PACE_WEIGHT * (min(ratio, 4.0) - 1))
+        engine.pace = min(MAX_PACE, max(MIN_PACE, pace))
+
+    def _drop(self, request_id, now):
+        """Count a prompt out and return its `Job`, or None."""
+        job = self.jobs.pop(request_id, None)
+        if job is None:
+            return None
+        engine = self.engines.get(job.life)
+        if engine is None:
+            return None
+        engine.jobs.pop(request_id, None)
+        left_s = sum(other.cost_s for other in engine.jobs.values())
+        engine.free_at_s = now + left_s
+        return job
+
+    def _expire(self, now):
+        while self.jobs:
+            request_id, job = next(iter(self.jobs.items()))
+            if now - job.since_s < EXPIRE_S:
+                return
+            self._drop(request_id, now)
+
+    def forget(self, lives):
+        """Keep only the engines of ``lives``."""
+        self.engines = {
+            life: engine
+            for life, engine in self.engines.items()
+            if life in lives
+        }
+
+
+def _nearest(holders, reader):
+    """Return a holder, in the reader's failure domain if there is one."""
+    near = [
+        holder
+        for holder in holders
+        if holder.failure_domain == reader.failure_domain
+    ]
+    return (near or holders)[0]
--- /dev/null
+++ b/tests/test_consultation.py
@@ -0,0 +1,160 @@
+"""Asking another VM where a prompt goes, over loopback and apart from it."""
+
+import unittest
+
+import attrs
+import curio
+
+from mangorock import consultation
+from mangorock import membership
+from mangorock import mirror
+from mangorock import scheduler
+from tests import ports
+from tests import test_scheduler
+
+
+def make_peers(count, region='r'):
+    return [
+        consultation.Peer(f'vm{n}', region, ('127.0.0.1', 7000 + n))
+        for n in range(count)
+    ]
+
+
+def make_directory(vm, peers):
+    directory = consultation.Directory(vm, 'r')
+    directory.take(peers)
+    return directory
+
+
+class Choice(unittest.TestCase):
+    """Who schedules a service."""
+
+    def test_all_vms_choose_the_same(self):
+        peers = make_peers(40)
+        chosen = set()
+        for peer in peers:
+            found = make_directory(peer.vm, peers).scheduler_of('s', 0.0)
+            chosen.add(peer.vm if found is None else found.vm)
+        self.assertEqual(1, len(chosen))
+
+    def test_silent_vm_is_passed_over_for_a_while(self):
+        directory = make_directory('other', make_peers(5))
+        first = directory.scheduler_of('s', 0.0).vm
+        directory.on_silence(first, 0.0)
+        second = directory.scheduler_of('s', 0.1)
+        self.assertNotEqual(first, second and second.vm)
+        later = consultation.SILENT_S + 0.1
+        self.assertEqual(first, directory.scheduler_of('s', later).vm)
+
+    def test_vm_alone_schedules_itself(self):
+        directory = make_directory('vm0', make_peers(1))
+        self.assertIsNone(directory.scheduler_of('s', 0.0))
+
+    def test_other_regions_are_not_asked(self):
+        directory = make_directory('vm9', make_peers(5, 'far'))
+        self.assertIsNone(directory.scheduler_of('s', 0.0))
+
+
+class Messages(unittest.TestCase):
+    """What goes over the wire between VMs."""
+
+    def test_each_message_comes_back_as_it_was(self):
+        for message in (
+            test_scheduler.make_ask('r1', tried=('a', 'b')),
+            scheduler.Assignment('d', 'p', '', 3700, 0.2),
+            scheduler.Busy(0.1),
+            scheduler.Hopeless(9.0),
+            scheduler.Notice('s', 'r1', 0.2, 'd', 1, 2, 8),
+        ):
+            data = consultation.encode(7, message)
+            self.assertEqual((7, message), consultation.decode(data))
+
+    def test_bytes_that_are_no_message_are_refused(self):
+        whole = consultation.encode(1, test_scheduler.make_ask('r1'))
+        for data in (
+            b'',
+            b'[]',
+            b'7',
+            b'["Ask", 1, {}]',
+            b'["Peer", 1, {"vm": "x"}]',
+            whole[:-4],
+            whole.replace(b'3700', b'"x"'),
+            whole.replace(b'[]', b'[4]'),
+        ):
+            with self.assertRaises(ValueError):
+                consultation.decode(data)
+
+    def test_key_of_another_writer_names_no_vm(self):
+        good = consultation.encode_peer('r', ('10.0.0.1', 7000))
+        item = mirror.Item('mangorock/vms/vm3', good, 1)
+        peer = consultation.Peer('vm3', 'r', ('10.0.0.1', 7000))
+        self.assertEqual(peer, consultation.decode_peer(item))
+        for value in (b'', b'x', b'["r", "no.address", 1]', b'[1]'):
+            bad = attrs.evolve(item, value=value)
+            self.assertIsNone(consultation.decode_peer(bad))
+
+
+class Asking(unittest.TestCase):
+    """Two VMs over loopback."""
+
+    def run_pair(self, body):
+        async def main():
+            engines = test_scheduler.make_engines()
+            found = {'s': scheduler.Scheduler(test_scheduler.KV_TOKENS)}
+            address = '127.0.0.1', ports.free_port()
+            first, second = membership.rank('s', ['vm0', 'vm1'])
+            peers = [consultation.Peer(first, 'r', address)]
+            asked = consultation.Consultant(
+                make_directory(first, peers),
+                found.get,
+                lambda service: engines,
+            )
+            asking = consultation.Consultant(
+                make_directory(second, peers),
+                lambda service: None,
+                lambda service: [],
+            )
+            await asked.start(address)
+            await asking.start(('127.0.0.1', ports.free_port()))
+            try:
+                await body(asked, asking, found['s'])
+            finally:
+                await asked.close()
+                await asking.close()
+
+        curio.run(main)
+
+    def test_scheduler_answers_and_takes_the_notice(self):
+        async def body(asked, asking, found):
+            ask = test_scheduler.make_ask('r1')
+            answer = await asking.ask(ask)
+            self.assertIsInstance(answer, scheduler.Assignment)
+            asking.tell(test_scheduler.read(ask, 0.2))
+            async with curio.timeout_after(1.0):
+                while found.jobs:
+                    await curio.sleep(0.005)
+
+        self.run_pair(body)
+
+    def test_silent_scheduler_costs_one_request_little(self):
+        async def body(asked, asking, found):
+            await asked.close()
+            self.assertIsNone(await asking.ask(test_scheduler.make_ask('r1')))
+            self.assertTrue(asking.directory.silent_until_s)
+            self.assertIsNone(await asking.ask(test_scheduler.make_ask('r2')))
+
+        self.run_pair(body)
+
+    def test_malformed_datagram_is_skipped(self):
+        async def body(asked, asking, found):
+            peers = asking.directory.peers.values()
+            for peer in peers:
+                asking.plain.sendto(b'\xff\x00', peer.address)
+            answer = await asking.ask(test_scheduler.make_ask('r1'))
+            self.assertIsInstance(answer, scheduler.Assignment)
+
+        self.run_pair(body)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -39,7 +39,7 @@
                     while desk.store.calls.count('/-/kv-txn') < 2:
                         await curio.sleep(0.01)
                     self.assertIn('mangorock/vms/vm-1', desk.store.items)
-                    self.assertEqual(1, await presence.count_once(store))
+                    self.assertEqual(1, len(await presence.read_once(store)))
 
         random.seed(1)
         curio.run(main)
