Scheduler learns pace from busy time; asking is spread; fewer store calls

Cause, from expected and actual reading times in the logs of the grown Traders: at 88 VMs the scheduler stood on a VM of 0.39 core and got over a thousand asks a second in the burst, so 44 asks met no answer, the VMs concerned went to a second scheduler that knew nothing, and prompts took 2 to 3 times as long as expected. Slow engines were underrated since a ratio of whole waiting times was learnt, in which short prompts hide the slow reading. Change: pace is busy time by reading done, weighed by tokens; a queue counts what is outstanding; those who wait ask again later the more of them there are; only VMs of half the largest capacity or more schedule; two silences in a row, not one, pass a VM over. A watch follows an event after 0.2 to 0.4 s, so that servers that start together come in one answer, and waits as long as the bounds of the settings allow a silent one to be noticed (3.4 s, 5.4 s on the grown sites, 3 s before).

--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -4,7 +4,7 @@
 of them, and the first that answers schedules.  No VM is elected and nothing
 is agreed: an answer is advice, and a VM that gets none in time places the
 prompt by itself.  So a cut, a frozen VM or a lost datagram costs a request
-`REPLY_S` at the most, and only the first request in `SILENT_S`.
+`REPLY_S` at the most, and only two requests in `SILENT_S`.
 
 A datagram is a JSON list: the kind of message, a number that an answer
 repeats, and the fields of a class of ``scheduler``.
@@ -25,8 +25,13 @@
 
 # Ten round trips between failure domains, and less than a read prompt.
 REPLY_S = 0.04
-# How long a VM that did not answer is passed over.
+# Answers that a VM may fail to give in a row, as datagrams get lost, and how
+# long it is passed over then.
+MAX_SILENCES = 2
 SILENT_S = 2.0
+# Only VMs with this part of the largest one's processor schedule, as one VM
+# answers for all.
+MIN_CAPACITY_SHARE = 0.5
 MAX_DATAGRAM_BYTES = 2048
 MESSAGES = {
     kind.__name__: kind
@@ -42,11 +47,12 @@
 
 @attrs.frozen
 class Peer:
-    """Another entry VM; ``address`` is (host, port)."""
+    """Another entry VM; ``address`` is (host, port), ``capacity`` cores."""
 
     vm: str
     region: str
     address: tuple
+    capacity: float = 1.0
 
 
 def encode(number, message):
@@ -64,19 +70,20 @@
         raise ValueError(f'no message of a VM: {exc!r}')
 
 
-def encode_peer(region, address):
+def encode_peer(peer):
     """Return how a VM says in its key where it hears from others."""
-    return orjson.dumps([region, *address])
+    return orjson.dumps([peer.region, *peer.address, peer.capacity])
 
 
 def decode_peer(item):
     """Return the `Peer` in a VM's key, None if it names no address."""
     if not item.value:
         return None
+    vm = item.key.rpartition('/')[2]
     try:
-        region, host, port = orjson.loads(item.value)
+        region, host, port, capacity = orjson.loads(item.value)
         socket.inet_aton(host)
-        return Peer(item.key.rpartition('/')[2], str(region), (host, port))
+        return Peer(vm, str(region), (host, int(port)), float(capacity))
     except (ValueError, TypeError, OSError) as exc:
         logs.warning('vm_malformed', key=item.key, error=repr(exc))
         return None
@@ -84,30 +91,43 @@
 
 @attrs.define
 class Directory:
-    """Who schedules a service, as this VM believes; a state machine."""
+    """Who schedules a service, as this VM believes; a state machine.
 
-    vm: str
-    region: str
+    ``me`` is this VM's own `Peer`.
+    """
+
+    me: Peer
     peers: dict = attrs.field(factory=dict)
+    silences: dict = attrs.field(factory=dict)
     silent_until_s: dict = attrs.field(factory=dict)
 
     def take(self, peers):
         """Take the VMs that were counted, this one among them or not."""
+        near = [peer for peer in peers if peer.region == self.me.region]
+        largest = max(peer.capacity for peer in [self.me, *near])
         self.peers = {
-            peer.vm: peer for peer in peers if peer.region == self.region
+            peer.vm: peer
+            for peer in [*near, self.me]
+            if peer.capacity >= MIN_CAPACITY_SHARE * largest
         }
 
     def scheduler_of(self, service, now):
         """Return the `Peer` that schedules, or None if this VM does."""
-        vms = {
+        vms = [
             vm for vm in self.peers if self.silent_until_s.get(vm, 0.0) <= now
-        }
-        first = membership.rank(service, vms | {self.vm})[0]
-        return None if first == self.vm else self.peers[first]
+        ]
+        first = membership.rank(service, vms)[0] if vms else self.me.vm
+        return None if first == self.me.vm else self.peers[first]
+
+    def on_answer(self, vm):
+        """Take that a VM answered."""
+        self.silences.pop(vm, None)
 
     def on_silence(self, vm, now):
-        """Pass a VM over for a while."""
-        self.silent_until_s[vm] = now + SILENT_S
+        """Pass over a VM that fails to answer, for a while."""
+        self.silences[vm] = self.silences.get(vm, 0) + 1
+        if self.silences[vm] >= MAX_SILENCES:
+            self.silent_until_s[vm] = now + SILENT_S
 
 
 class Consultant:
@@ -156,7 +176,9 @@
                 await answer.event.wait()
         finally:
             del self.waiting[number]
-        if not answer.event.is_set():
+        if answer.event.is_set():
+            self.directory.on_answer(peer.vm)
+        else:
             self.directory.on_silence(peer.vm, now)
             logs.event(
                 'scheduler_silent',
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -28,6 +28,8 @@
 CONNECT_TIMEOUT_S = 0.5  # A hundred round trips between failure domains.
 SEND_TIMEOUT_S = 2.0  # After which unacknowledged bytes end a connection.
 PRUNE_INTERVAL_S = 0.5
+# Taken by the end of a silent watch, a listing, and slow VMs and calls.
+WATCH_MARGIN_S = 1.6
 # Left of the grace period for closing what is still open.
 STOP_MARGIN_S = 0.4
 # A settings file that changes without a signal is noticed this soon.
@@ -43,7 +45,11 @@
 
     Addresses are (host, port); ``metrics_address`` may be None.
     ``grace_s`` is the time between SIGTERM and SIGKILL.  Other VMs of
-    ``region`` reach this one at ``peer_address`` (None: not at all).
+    ``region`` reach this one at ``peer_address`` (None: not at all);
+    ``capacity`` is its processor in cores.  ``stable_s`` after a
+    disturbance all is expected to work again: a change of the configuration
+    is then in force within ``config_s``, a leaving server without new work
+    within ``drain_s``.
     """
 
     vm: str
@@ -55,6 +61,20 @@
     metrics_address: tuple | None = None
     peer_address: tuple | None = None
     region: str = ''
+    capacity: float = 1.0
+    stable_s: float = 3.0
+    config_s: float = 2.0
+    drain_s: float = 2.0
+
+    @property
+    def watch_wait_s(self):
+        """Return how long a watch may wait.
+
+        One that was silenced by a disturbance ends in time for a new one to
+        tell what changed behind it.
+        """
+        change_s = min(self.config_s, self.drain_s)
+        return max(1.0, self.stable_s + change_s - WATCH_MARGIN_S)
 
 
 class Front:
@@ -88,6 +108,7 @@
         self.is_stopping = False
         self.was_ready = False
         self.store = None
+        self.directory = None
         self.tasks = []
 
     @property
@@ -125,6 +146,7 @@
             self._take_config,
             self._take_config,
             self.rng,
+            settings.watch_wait_s,
         )
         await self.spawn(
             mirror.follow,
@@ -133,6 +155,7 @@
             self._take_servers,
             self._take_changes,
             self.rng,
+            settings.watch_wait_s,
         )
         await self._join_vms(store)
         await self.spawn(self._prune)
@@ -145,12 +168,16 @@
     async def _join_vms(self, store):
         """Make this VM known to the others, and learn of them."""
         settings = self.settings
-        self.directory = consultation.Directory(settings.vm, settings.region)
         value = b''
         if settings.peer_address is not None:
-            value = consultation.encode_peer(
-                settings.region, settings.peer_address
+            me = consultation.Peer(
+                settings.vm,
+                settings.region,
+                settings.peer_address,
+                settings.capacity,
             )
+            value = consultation.encode_peer(me)
+            self.directory = consultation.Directory(me)
             self.gateway.consultant = consultation.Consultant(
                 self.directory,
                 self.gateway.scheduler,
@@ -170,8 +197,9 @@
 
     def _take_vms(self, vms, items):
         self.gateway.share_with(vms)
-        found = map(consultation.decode_peer, items)
-        self.directory.take([peer for peer in found if peer is not None])
+        if self.directory is not None:
+            found = map(consultation.decode_peer, items)
+            self.directory.take([peer for peer in found if peer is not None])
 
     async def spawn(self, function, *args):
         """Start a task that `close` ends."""
--- a/src/mangorock/mirror.py
+++ b/src/mangorock/mirror.py
@@ -19,8 +19,9 @@
 from mangorock import errors
 from mangorock import logs
 
-# A watch that went silent without being cut is noticed after this time.
-WATCH_WAIT_S = 3.0
+# After an event others follow, as servers start or leave together: the next
+# watch waits so long and gets them in one answer.
+GATHER_S = 0.4
 MIN_PAUSE_S = 0.1  # First pause after a failure.
 MAX_PAUSE_S = 1.0  # Keeps a returning store known within a second.
 
@@ -147,9 +148,10 @@
         self.listed = []
 
 
-async def follow(mirror, store, take_listing, take_events, rng):
+async def follow(mirror, store, take_listing, take_events, rng, wait_s):
     """Run the calls of ``mirror`` for ever.
 
+    A watch that went silent without being cut is noticed after ``wait_s``.
     ``store`` has ``list_page(prefix, after)`` and ``watch(prefix,
     revision, wait_s)``, which raise `errors.PlatformUnavailable` and
     `HistoryLost`.  ``take_listing(items)`` gets each whole listing,
@@ -159,13 +161,17 @@
     lost_s = None
     while True:
         try:
-            await _step(mirror, store, take_listing, take_events)
+            events = await _step(
+                mirror, store, take_listing, take_events, wait_s
+            )
             if lost_s is not None:
                 away_s = time.monotonic() - lost_s
                 logs.event(
                     'store_regained', prefix=mirror.prefix, away_s=away_s
                 )
                 lost_s = None
+            if events:
+                await curio.sleep(GATHER_S * (0.5 + 0.5 * rng.random()))
         except HistoryLost:
             logs.event(
                 'store_history_lost',
@@ -185,7 +191,8 @@
             await curio.sleep(mirror.on_failure(rng.random()))
 
 
-async def _step(mirror, store, take_listing, take_events):
+async def _step(mirror, store, take_listing, take_events, wait_s):
+    """Make one call; return how many events a watch told."""
     call = mirror.next_call()
     match call:
         case ListPage():
@@ -194,8 +201,8 @@
             )
             if listing is not None:
                 take_listing(listing)
+            return 0
         case Watch():
-            changes = await store.watch(
-                call.prefix, call.revision, WATCH_WAIT_S
-            )
+            changes = await store.watch(call.prefix, call.revision, wait_s)
             take_events(mirror.on_changes(changes))
+            return len(changes.events)
--- a/src/mangorock/scheduler.py
+++ b/src/mangorock/scheduler.py
@@ -39,12 +39,18 @@
 # The part of an engine's memory that keeps what was read before; runs and
 # short prompts take the rest.
 KEPT_SHARE = 0.8
-PACE_WEIGHT = 0.2  # Of the newest prompt in an engine's pace.
-MIN_PACE, MAX_PACE = 0.4, 4.0
+# Spent on a prompt besides its tokens, in seconds.
+PROMPT_S = 0.015
+# An engine's pace is learnt from about so many seconds of reading.
+PACE_MEMORY_S = 1.0
+MIN_PACE, MAX_PACE = 0.4, 6.0
 # A prompt whose end was not told counts no longer than this, in seconds.
 EXPIRE_S = 4.0
-# How soon a prompt without a place may ask again, in seconds.
+# How soon a prompt without a place may ask again, in seconds, and how much
+# later for each one that was told so within `BUSY_MEMORY_S`.
 ASK_AGAIN_S = 0.06
+ASK_AGAIN_EACH_S = 0.004
+BUSY_MEMORY_S = 0.3
 # A stream sent to a decode engine counts until its load is told, or so long.
 STREAM_S = 1.0
 # Each stream beyond an engine's places, and each one on it, in seconds.
@@ -159,26 +165,58 @@
 
 @attrs.frozen
 class Job:
-    """A prompt being read: what it costs, and when it was expected."""
+    """A prompt being read, in ``read_s`` by an engine of average make."""
 
     life: tuple
-    cost_s: float
-    expected_s: float
+    read_s: float
     since_s: float
 
 
 @attrs.define
 class Engine:
-    """What is known of one life of an engine."""
+    """What is known of one life of an engine.
+
+    ``read_s`` is what it has read lately, in seconds of an engine of
+    average make, ``busy_s`` how long it took; older reading counts less.
+    """
 
     kept: Kept
-    pace: float = 1.0
-    free_at_s: float = 0.0
+    read_s: float = PACE_MEMORY_S / 4
+    busy_s: float = PACE_MEMORY_S / 4
     jobs: dict = attrs.field(factory=dict)
+    worked_since_s: float = 0.0
     streams: list = attrs.field(factory=list)
     running: int = 0
     slots: int = 0
 
+    @property
+    def pace(self):
+        """Return how much longer it reads than an average engine."""
+        return min(MAX_PACE, max(MIN_PACE, self.busy_s / self.read_s))
+
+    def queue_s(self, now):
+        """Return the seconds until it has read what it was given."""
+        if not self.jobs:
+            return 0.0
+        costs = [self.pace * job.read_s for job in self.jobs.values()]
+        return sum(costs) - min(costs[0], now - self.worked_since_s)
+
+    def add(self, request_id, job, now):
+        """Give it a prompt to read."""
+        if not self.jobs:
+            self.worked_since_s = now
+        self.jobs[request_id] = job
+
+    def drop(self, request_id, is_read, now):
+        """Take a prompt from it, and learn its pace if that was read."""
+        job = self.jobs.pop(request_id, None)
+        if job is None or not is_read:
+            return
+        fade = 0.5 ** (job.read_s / PACE_MEMORY_S)
+        self.read_s = fade * self.read_s + job.read_s
+        self.busy_s = fade * self.busy_s + now - self.worked_since_s
+        self.worked_since_s = now
+
     def count_streams(self, now):
         """Return the streams told, and those sent since."""
         self.streams = [s for s in self.streams if now - s < STREAM_S]
@@ -209,6 +247,7 @@
     kv_tokens: int
     engines: dict = attrs.field(factory=dict)
     jobs: dict = attrs.field(factory=dict)
+    busy_at_s: collections.deque = attrs.field(factory=collections.deque)
 
     def engine(self, server):
         """Return the `Engine` of a life."""
@@ -233,7 +272,14 @@
         is_queue_short = best.finish_s - best.cost_s <= LATE_QUEUE_S
         if is_queue_short and finish_s <= ask.left_s:
             return self._assign(ask, best, now)
-        return Busy(ASK_AGAIN_S)
+        return self._busy(now)
+
+    def _busy(self, now):
+        """Spread those who wait, so that asking stays cheap."""
+        while self.busy_at_s and now - self.busy_at_s[0] > BUSY_MEMORY_S:
+            self.busy_at_s.popleft()
+        self.busy_at_s.append(now)
+        return Busy(ASK_AGAIN_S + ASK_AGAIN_EACH_S * len(self.busy_at_s))
 
     def _best(self, ask, servers, now):
         decodes = [s for s in servers if not s.is_prefill_only]
@@ -283,8 +329,8 @@
             fetch_from = _nearest(holders, reader)
         elif not keeps:
             tokens += ask.shared_tokens
-        cost_s = engine.pace * tokens / placement.rate(reader)
-        finish_s = max(0.0, engine.free_at_s - now) + cost_s
+        cost_s = engine.pace * _read_s(reader, tokens)
+        finish_s = engine.queue_s(now) + cost_s
         if reader is not decode:
             finish_s += HANDOVER_S
         rank_s = finish_s if keeps else finish_s + COPY_S
@@ -299,10 +345,10 @@
 
     def _assign(self, ask, way, now):
         engine, decode = self.engine(way.reader), self.engine(way.decode)
-        self._drop(ask.request_id, now)
-        engine.free_at_s = max(now, engine.free_at_s) + way.cost_s
-        job = Job(way.reader.life, way.cost_s, way.finish_s, now)
-        engine.jobs[ask.request_id] = self.jobs[ask.request_id] = job
+        self._drop(ask.request_id, False, now)
+        job = Job(way.reader.life, _read_s(way.reader, way.tokens), now)
+        engine.add(ask.request_id, job, now)
+        self.jobs[ask.request_id] = job
         done_s = now + way.finish_s
         for keeper in (engine, decode):
             keeper.kept.touch(ask.request_id, ask.own_tokens, done_s)
@@ -320,9 +366,7 @@
 
     def take(self, notice, servers, now):
         """Take what became of a prompt."""
-        job = self._drop(notice.request_id, now)
-        if job is not None and notice.seconds >= 0:
-            self._learn(self.engines[job.life], job, notice.seconds)
+        self._drop(notice.request_id, notice.seconds >= 0, now)
         if not notice.slots:
             return
         for server in servers:
@@ -332,31 +376,19 @@
                 engine.slots = notice.slots
                 engine.streams = []
 
-    @staticmethod
-    def _learn(engine, job, seconds):
-        ratio = seconds / max(0.01, job.expected_s)
-        pace = engine.pace * (1 + PACE_WEIGHT * (min(ratio, 4.0) - 1))
-        engine.pace = min(MAX_PACE, max(MIN_PACE, pace))
-
-    def _drop(self, request_id, now):
-        """Count a prompt out and return its `Job`, or None."""
+    def _drop(self, request_id, is_read, now):
+        """Count a prompt out."""
         job = self.jobs.pop(request_id, None)
-        if job is None:
-            return None
-        engine = self.engines.get(job.life)
-        if engine is None:
-            return None
-        engine.jobs.pop(request_id, None)
-        left_s = sum(other.cost_s for other in engine.jobs.values())
-        engine.free_at_s = now + left_s
-        return job
+        engine = job and self.engines.get(job.life)
+        if engine is not None:
+            engine.drop(request_id, is_read, now)
 
     def _expire(self, now):
         while self.jobs:
             request_id, job = next(iter(self.jobs.items()))
             if now - job.since_s < EXPIRE_S:
                 return
-            self._drop(request_id, now)
+            self._drop(request_id, False, now)
 
     def forget(self, lives):
         """Keep only the engines of ``lives``."""
@@ -367,6 +399,11 @@
         }
 
 
+def _read_s(server, tokens):
+    """Return the seconds in which an average engine reads a prompt."""
+    return PROMPT_S + tokens / placement.rate(server)
+
+
 def _nearest(holders, reader):
     """Return a holder, in the reader's failure domain if there is one."""
     near = [
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -306,6 +306,32 @@
         for name in ('nodeName', 'zone', 'listen.front', 'bounds.graceS'):
             self.assertIn(name, caught.exception.message)
 
+    def test_watches_end_in_time_for_what_the_bounds_promise(self):
+        file = {
+            'nodeName': 'vm-1',
+            'zone': 'a',
+            'ip': '10.0.0.1',
+            'listen': {'front': '10.0.0.1:80', 'ready': '10.0.0.1:81'},
+            'platform': {'address': '10.0.0.9:1'},
+            'bounds': {'graceS': 8},
+        }
+        self.assertAlmostEqual(3.4, settings.decode(file).watch_wait_s)
+        self.assertIsNone(settings.decode(file).peer_address)
+        file['bounds'] |= {
+            'stableWindowMs': 4000,
+            'configMs': 3000,
+            'drainMs': 5000,
+        }
+        file['internalPorts'] = [7660, 7675]
+        found = settings.decode(file)
+        self.assertAlmostEqual(5.4, found.watch_wait_s)
+        self.assertEqual(('10.0.0.1', 7660), found.peer_address)
+
+    def test_port_that_is_none_is_a_fault(self):
+        with self.assertRaises(errors.SettingsError) as caught:
+            settings.decode({'internalPorts': ['x']})
+        self.assertIn('internalPorts', caught.exception.message)
+
     def test_unreadable_file_is_a_settings_error(self):
         with self.assertRaises(errors.SettingsError):
             settings.load(str(fleet.ROOT / 'missing.json'))
