--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -21,6 +21,7 @@
 
 from mangorock import logs
 from mangorock import membership
+from mangorock import registry
 from mangorock import scheduler
 
 # Ten round trips between failure domains, and less than a read prompt.
@@ -42,6 +43,7 @@
         scheduler.Busy,
         scheduler.Hopeless,
         scheduler.Notice,
+        scheduler.Wish,
     )
 }
 
@@ -117,11 +119,20 @@
 
     def scheduler_of(self, service, now):
         """Return the `Peer` that schedules, or None if this VM does."""
+        return self._peer(self._ranked(service, now)[0])
+
+    def deputy_of(self, service, now):
+        """Return the `Peer` next in rank, or None if that is this VM."""
+        return self._peer(self._ranked(service, now)[:2][-1])
+
+    def _ranked(self, service, now):
         vms = [
             vm for vm in self.peers if self.silent_until_s.get(vm, 0.0) <= now
         ]
-        first = membership.rank(service, vms)[0] if vms else self.me.vm
-        return None if first == self.me.vm else self.peers[first]
+        return membership.rank(service, vms) or [self.me.vm]
+
+    def _peer(self, vm):
+        return None if vm == self.me.vm else self.peers[vm]
 
     def on_answer(self, vm):
         """Take that a VM answered."""
@@ -140,6 +151,7 @@
     ``schedulers(service)`` returns the `scheduler.Scheduler` of a service
     here, or None where no engine is known; ``servers(service)`` the servers
     that may be used; ``pause(server_id, seconds)`` stops their use.
+    ``on_wish(service, server_id, stage)`` is set by who orders.
     """
 
     def __init__(self, directory, schedulers, servers, pause):
@@ -147,6 +159,7 @@
         self.schedulers = schedulers
         self.servers = servers
         self.pause = pause
+        self.on_wish = None
         self.numbers = itertools.count(1)
         self.waiting = {}
         self.plain = None
@@ -202,6 +215,15 @@
         else:
             self._send(0, notice, peer.address)
 
+    def wish(self, service, server_id, stage):
+        """Ask the VM that orders for a change of stage; may be lost."""
+        peer = self.directory.deputy_of(service, time.monotonic())
+        if peer is None:
+            self.on_wish(service, server_id, stage)
+        else:
+            wish = scheduler.Wish(service, server_id, stage.value)
+            self._send(0, wish, peer.address)
+
     def tell_away(self, service, server_id, seconds):
         """Tell all VMs that an engine takes nothing for some seconds."""
         self.pause(server_id, seconds)
@@ -239,6 +261,9 @@
                     self._send(number, answer, sender)
             case scheduler.Notice():
                 self._take(message)
+            case scheduler.Wish():
+                stage = registry.Stage(message.stage)
+                self.on_wish(message.service, message.server, stage)
             case scheduler.Away():
                 self.pause(message.server, message.seconds)
             case _:
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -204,16 +204,19 @@
         )
 
     async def _start_staging(self, store):
+        consultant = self.gateway.consultant
         stager = staging.Stager(
             self.settings.vm,
             ORDER_LEASES * self.settings.turn_s,
-            self.gateway,
+            self.gateway.registry,
             store,
             self.client,
             self.platform.orders,
-            self.gateway.consultant.tell_away,
+            consultant.tell_away,
         )
+        consultant.on_wish = stager.wish
         await self.spawn(stager.run)
+        await self.spawn(staging.Planners(self.gateway, consultant.wish).run)
 
     def _take_vms(self, vms, items):
         self.gateway.share_with(vms)
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -41,9 +41,6 @@
 RETRY_AFTER_S = (0.8, 1.6)
 # Another VM can take the request at once.
 STOP_RETRY_AFTER_S = 0.05
-# Longer than a watch of the register waits; a VM whose register is older
-# leaves the placing of long prompts to another.
-STALE_REGISTER_S = 8.0
 # The fleet's retry budget, as one VM's share of its own arrivals.
 RETRY_SHARE = 0.12
 FLEET_RETRY_BURST = 40.0
@@ -257,14 +254,11 @@
     def scheduler(self, service):
         """Return the `scheduler.Scheduler` kept here for a service.
 
-        None where the configuration names no engines, or where this VM has
-        long not heard from the register.
+        None where the configuration names no engines.
         """
         known = self.catalog.services.get(service)
         if known is None or known.engine is None:
             return None
-        if time.monotonic() - self.registry.heard_s > STALE_REGISTER_S:
-            return None
         found = self.schedulers.get(service)
         if found is None:
             logs.event('scheduling_began', service=service)
--- a/src/mangorock/registry.py
+++ b/src/mangorock/registry.py
@@ -95,6 +95,14 @@
         if known is not None:
             self.paused[server_id] = known.life, known.stage, until_s
 
+    def paused_lives(self, now):
+        """Return the lives that are offered for no new work."""
+        return [
+            server.life
+            for server in self.servers.values()
+            if self._is_paused(server, now)
+        ]
+
     def _is_paused(self, server, now):
         life, stage, until_s = self.paused.get(
             server.server_id, (None, None, now)
--- a/src/mangorock/scheduler.py
+++ b/src/mangorock/scheduler.py
@@ -125,6 +125,17 @@
     seconds: float = attrs.field(validator=_number)
 
 
+@attrs.frozen
+class Wish:
+    """An engine should change to the stage of this name."""
+
+    service: str = attrs.field(validator=_text)
+    server: str = attrs.field(validator=_text)
+    stage: str = attrs.field(
+        validator=attrs.validators.in_([s.value for s in registry.Stage])
+    )
+
+
 @attrs.frozen
 class Notice:
     """A prompt was read in ``seconds``, or (-1) will not be.
--- a/src/mangorock/stages.py
+++ b/src/mangorock/stages.py
@@ -109,7 +109,7 @@
         """Return the `Change` that should be ordered now, or None."""
         if not self._may_change(servers, now):
             return None
-        servers = [s for s in servers if self._is_settled(s, now)]
+        servers = [s for s in servers if self._is_settled(s.life, now)]
         prefills = [s for s in servers if s.is_prefill_only]
         decodes = [s for s in servers if not s.is_prefill_only]
         if self.pressed_s is not None and len(decodes) > MIN_DECODES:
@@ -135,8 +135,8 @@
         interval_s = max(MIN_INTERVAL_S, CHANGE_INTERVAL_S / max(1, decodes))
         return self.changed_s is None or now - self.changed_s >= interval_s
 
-    def _is_settled(self, server, now):
-        ordered_s = self.ordered_s.get(server.life)
+    def _is_settled(self, life, now):
+        ordered_s = self.ordered_s.get(life)
         return ordered_s is None or now - ordered_s >= SETTLE_S
 
     def _wants_prefill(self, decodes):
@@ -153,10 +153,10 @@
             since_s = now - self.changed_s
         return since_s >= RETURN_INTERVAL_S and self.occupancy > HIGH_OCCUPANCY
 
-    def on_order(self, change, now):
-        """Take that an order is sent, however it will end."""
-        self.changed_s = now
-        self.ordered_s[change.server.life] = now
+    def on_away(self, life, now):
+        """Take that all VMs were told to spare an engine."""
+        if self._is_settled(life, now):
+            self.changed_s = self.ordered_s[life] = now
 
     def forget(self, lives):
         """Keep only the orders to ``lives``."""
--- a/src/mangorock/staging.py
+++ b/src/mangorock/staging.py
@@ -1,8 +1,9 @@
-"""Orders stage changes of engines: the loop around ``stages``.
+"""Orders stage changes of engines: the loops around ``stages``.
 
-Runs at every VM and acts only where this VM schedules a service.  The right
-to order is sought when the first change is wanted, and left to lapse: never
-given back early, so that two holders' orders are never close together.
+`Planners` runs where a service is scheduled and wishes for changes; `Stager`
+runs at the VM ranked next and orders them.  The right to order is sought at
+the first wish and left to lapse: never given back early, so that two
+holders' orders are never close together.
 """
 
 import enum
@@ -22,6 +23,8 @@
 INTERVAL_S = 0.25  # Between two looks at the queues.
 # A VM that was not asked for so long no longer schedules.
 UNASKED_S = 1.5
+# A wish is repeated at each look; one that is older no longer holds.
+FRESH_S = 1.0
 # From the news to all VMs until the order, so that they stop sending.
 NEWS_S = 0.05
 # For how long VMs send an engine nothing after that news, unless its new
@@ -68,9 +71,57 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+@attrs.define
+class Planners:
+    """Plans the stages of the services that this VM schedules.
+
+    ``wish(service, server_id, stage)`` passes a change on to the VM that
+    orders.  That is another one: it is the one that is known by its orders
+    and its key, and its loss must not cost what the scheduler knows.
+    """
+
+    gateway: object
+    wish: object
+    clock: object = time.monotonic
+    planners: dict = attrs.field(factory=dict)
+
+    async def run(self):
+        """Look at the queues for ever."""
+        while True:
+            await curio.sleep(INTERVAL_S)
+            for service, scheduler in self.gateway.schedulers.items():
+                self.look(service, scheduler)
+
+    def look(self, service, scheduler):
+        """Take one look at a service, and wish for what it calls for."""
+        now = self.clock()
+        planner = self.planners.setdefault(service, stages.StagePlanner())
+        if now - scheduler.asked_s > UNASKED_S:
+            planner.pause()
+            return
+        registry = self.gateway.registry
+        planner.forget(registry.lives)
+        for life in registry.paused_lives(now):
+            planner.on_away(life, now)
+        servers = self.gateway.sound_servers(service)
+        planner.sample(scheduler, servers, now)
+        change = planner.wanted(scheduler, servers, now)
+        if change is None:
+            return
+        logs.event(
+            'stage_wanted',
+            service=service,
+            server=change.server.server_id,
+            stage=change.stage.value,
+            queue_s=planner.queue_s,
+            occupancy=planner.occupancy,
+        )
+        self.wish(service, change.server.server_id, change.stage)
+
+
 @attrs.define
 class Stager:
-    """Plans and orders for the services that this VM schedules.
+    """Orders the changes that schedulers wish for.
 
     ``lease_s`` is twice the time that must lie between orders of two VMs.
     ``wire`` encodes orders and reads their answers, ``tell_away(service,
@@ -79,24 +130,28 @@
 
     vm: str
     lease_s: float
-    gateway: object
+    registry: object
     store: object
     client: object
     wire: object
     tell_away: object
     clock: object = time.monotonic
     boot_clock: object = boot_clock
-    planners: dict = attrs.field(factory=dict)
     tenures: dict = attrs.field(factory=dict)
-    wanted_s: dict = attrs.field(factory=dict)
+    wishes: dict = attrs.field(factory=dict)
+    ordered_s: dict = attrs.field(factory=dict)
+
+    def wish(self, service, server_id, stage):
+        """Take a change that is wanted now."""
+        self.wishes[service] = server_id, stage, self.clock()
 
     async def run(self):
-        """Look at the queues for ever."""
+        """Carry out wishes for ever."""
         while True:
             await curio.sleep(INTERVAL_S)
-            for service, scheduler in list(self.gateway.schedulers.items()):
+            for service in list(self.wishes):
                 try:
-                    await self.look(service, scheduler)
+                    await self.act(service)
                 except errors.MangorockError as exc:
                     logs.event(
                         'stages_not_ordered',
@@ -104,26 +159,29 @@
                         error=exc.message,
                     )
 
-    async def look(self, service, scheduler):
-        """Take one look at a service, and order what it calls for."""
+    async def act(self, service):
+        """Take one step: seek or keep the right, and order what is due."""
         now = self.clock()
-        planner = self.planners.setdefault(service, stages.StagePlanner())
-        if now - scheduler.asked_s > UNASKED_S:
-            planner.pause()
-            return
-        servers = self.gateway.sound_servers(service)
-        planner.forget(self.gateway.registry.lives)
-        planner.sample(scheduler, servers, now)
-        change = planner.wanted(scheduler, servers, now)
-        if change is not None:
-            self.wanted_s[service] = now
+        change = self._due(service, now)
         if await self._hold(service, now) and change is not None:
-            await self._order(service, planner, change)
+            await self._order(service, change)
+
+    def _due(self, service, now):
+        """Return the `stages.Change` to order now, or None."""
+        server_id, stage, wished_s = self.wishes[service]
+        server = self.registry.servers.get(server_id)
+        if server is None or server.stage is stage:
+            return None
+        ordered_s = self.ordered_s.get(server.life, float('-inf'))
+        is_settled = now - ordered_s >= stages.SETTLE_S
+        if now - wished_s > FRESH_S or not is_settled:
+            return None
+        return stages.Change(server, stage)
 
     async def _hold(self, service, now):
         """Seek, renew or leave the right to order; return whether held."""
         tenure = self.tenures.setdefault(service, stages.Tenure(self.lease_s))
-        is_idle = now - self.wanted_s.get(service, -IDLE_S) >= IDLE_S
+        is_idle = now - self.wishes[service][2] >= IDLE_S
         clock_s = self.boot_clock()
         if tenure.lease is not None and tenure.is_over(clock_s):
             logs.event('tenure_over', service=service, fence=tenure.fence)
@@ -163,7 +221,7 @@
             return
         tenure.renew(clock_s)
 
-    async def _order(self, service, planner, change):
+    async def _order(self, service, change):
         state = await self._read_state(change.server)
         if state is None or state.is_busy:
             return
@@ -172,7 +230,7 @@
         await curio.sleep(NEWS_S)
         if not tenure.may_order(self.boot_clock()):
             return
-        planner.on_order(change, self.clock())
+        self.ordered_s[change.server.life] = self.clock()
         order = Order(change, self.vm, tenure.fence, state.orders)
         end = await self._send(order)
         logs.event(
@@ -183,8 +241,6 @@
             fence=order.fence,
             expected=order.expected,
             end=end.value,
-            queue_s=planner.queue_s,
-            occupancy=planner.occupancy,
         )
         if end is OrderEnd.FENCED:
             tenure.lose()
--- a/tests/test_consultation.py
+++ b/tests/test_consultation.py
@@ -54,6 +54,15 @@
         directory = make_directory('vm0', make_peers(1))
         self.assertIsNone(directory.scheduler_of('s', 0.0))
 
+    def test_another_vm_orders_than_the_one_that_schedules(self):
+        peers = make_peers(5)
+        first = make_directory('other', peers).scheduler_of('s', 0.0).vm
+        directory = make_directory(first, peers)
+        self.assertIsNone(directory.scheduler_of('s', 0.0))
+        self.assertIsNotNone(directory.deputy_of('s', 0.0))
+        alone = make_directory('vm0', make_peers(1))
+        self.assertIsNone(alone.deputy_of('s', 0.0))
+
     def test_small_vms_do_not_schedule(self):
         small = [attrs.evolve(p, capacity=0.4) for p in make_peers(9)]
         large = consultation.Peer('large', 'r', ('127.0.0.1', 1), 2.0)
@@ -74,6 +83,8 @@
             scheduler.Assignment('d', 'p', '', 3700, 0.2),
             scheduler.Busy(0.1),
             scheduler.Hopeless(9.0),
+            scheduler.Away('s', 'd', 6.0),
+            scheduler.Wish('s', 'd', 'prefill'),
             scheduler.Notice('s', 'r1', 0.2, 'p', 'd', 1, 2, 8),
         ):
             data = consultation.encode(7, message)
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -49,7 +49,7 @@
             self.planner.sample(self.scheduler, self.engines, now)
             change = self.planner.wanted(self.scheduler, self.engines, now)
             if change is not None:
-                self.planner.on_order(change, now)
+                self.planner.on_away(change.server.life, now)
                 found.append(change)
         return found
 
@@ -138,6 +138,48 @@
         self.assertFalse(tenure.may_order(170.0))
 
 
+class Wishing(unittest.TestCase):
+    """What the scheduler wants reaches the VM that orders."""
+
+    def test_wish_is_repeated_until_all_were_told(self):
+        service, wishes = Service(), []
+        register = registry.Registry()
+        register.replace(service.engines, 0.0)
+        now = [0.0]
+        planners = staging.Planners(
+            types.SimpleNamespace(
+                registry=register,
+                sound_servers=lambda _: register.candidates('s', now[0]),
+            ),
+            lambda *wish: wishes.append(wish),
+            clock=lambda: now[0],
+        )
+        for _ in range(28):
+            now[0] += 0.25
+            service.scheduler.asked_s = now[0]
+            service.load(0.3, 2, now[0])
+            planners.look('s', service.scheduler)
+        self.assertGreater(len(wishes), 2)
+        self.assertEqual(1, len(set(wishes)))
+        register.pause(wishes[0][1], now[0] + 6.0)
+        told = len(wishes)
+        for _ in range(8):
+            now[0] += 0.25
+            service.scheduler.asked_s = now[0]
+            service.load(0.3, 2, now[0])
+            planners.look('s', service.scheduler)
+        self.assertEqual(told, len(wishes))
+
+    def test_vm_that_is_no_longer_asked_wishes_nothing(self):
+        service, wishes = Service(), []
+        planners = staging.Planners(
+            types.SimpleNamespace(), wishes.append, clock=lambda: 50.0
+        )
+        service.scheduler.asked_s = 40.0
+        planners.look('s', service.scheduler)
+        self.assertEqual([], wishes)
+
+
 class Wire(unittest.TestCase):
     """Orders and engines' own reports as the platform has them."""
 
@@ -257,20 +299,15 @@
 
 
 class World:
-    """VMs that all believe they schedule, one engine's order book."""
+    """VMs that are all wished a change, one engine's order book."""
 
     def __init__(self, seed, vms=3):
         self.rng = random.Random(seed)
         self.now = 100.0
         self.store = ModelStore(self.rng, lambda: self.now)
         self.service = Service()
-        self.gateway = types.SimpleNamespace(
-            schedulers={'s': self.service.scheduler},
-            sound_servers=lambda service: self.service.engines,
-            registry=types.SimpleNamespace(
-                lives={s.life for s in self.service.engines}
-            ),
-        )
+        self.registry = registry.Registry()
+        self.registry.replace(self.service.engines, self.now)
         self.orders = []
         self.stagers = [self.make_stager(f'vm{n}') for n in range(vms)]
 
@@ -279,7 +316,7 @@
         return staging.Stager(
             vm,
             6.0,
-            self.gateway,
+            self.registry,
             self.store,
             client=types.SimpleNamespace(call_once=self.call),
             wire=types.SimpleNamespace(
@@ -311,17 +348,14 @@
                 self.now += 7.0
             if self.rng.random() < 0.05:
                 self.store.is_away = not self.store.is_away
-            self.service.scheduler.asked_s = self.now
-            self.service.load(0.5, 1, self.now)
             stager = self.rng.choice(self.stagers)
-            for planner in stager.planners.values():
-                planner.ordered_s.clear()
-                planner.changed_s = None
+            stager.ordered_s.clear()
+            stager.wish('s', 'decode3', registry.Stage.PREFILL)
             with contextlib.suppress(errors.MangorockError):
-                await stager.look('s', self.service.scheduler)
+                await stager.act('s')
 
 
-def find_fault(seeds=40):
+def find_fault(seeds=200):
     """Return what two holders did against each other, or None."""
     for seed in range(seeds):
         world = World(seed)
