A new scheduler looks for documents where hashing puts them; a fault soak

Change: new documents go to the decode engine that hashing names where that is not full, an unknown one is fetched from there, and the part that is not found is learnt. Stages change only where eight decode engines or more stay and two thirds of them would do.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Fuzzes longer than CI: scripts/soak.sh --seed N --examples M
+# Harms real entry VMs at random: scripts/soak.sh --seed N --count M --seconds S
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/venv.sh
--- a/src/mangorock/scheduler.py
+++ b/src/mangorock/scheduler.py
@@ -42,6 +42,8 @@
 # The part of an engine's memory that keeps what was read before; runs and
 # short prompts take the rest.
 KEPT_SHARE = 0.8
+# Of the newest prompt in the part of unknown documents that is not kept.
+UNKNOWN_WEIGHT = 0.1
 # Spent on a prompt besides its tokens, in seconds.
 PROMPT_S = 0.015
 # An engine's pace is learnt from about so many seconds of reading.
@@ -190,11 +192,16 @@
 
 @attrs.frozen
 class Job:
-    """A prompt being read, in ``read_s`` by an engine of average make."""
+    """A prompt being read, in ``read_s`` by an engine of average make.
+
+    ``shared_read_s`` is the time for an unknown document in full, 0 for a
+    known one; the expected part of it is in ``read_s``.
+    """
 
     life: tuple
     read_s: float
     since_s: float
+    shared_read_s: float = 0.0
 
 
 @attrs.define
@@ -233,14 +240,19 @@
         self.jobs[request_id] = job
 
     def drop(self, request_id, is_read, now):
-        """Take a prompt from it, and learn its pace if that was read."""
+        """Take a prompt from it, and learn its pace if that was read.
+
+        Returns how long it was busy with it, None if it was not read.
+        """
         job = self.jobs.pop(request_id, None)
         if job is None or not is_read:
-            return
+            return None
         fade = 0.5 ** (job.read_s / PACE_MEMORY_S)
+        busy_s = now - self.worked_since_s
         self.read_s = fade * self.read_s + job.read_s
-        self.busy_s = fade * self.busy_s + now - self.worked_since_s
+        self.busy_s = fade * self.busy_s + busy_s
         self.worked_since_s = now
+        return busy_s
 
     def count_streams(self, now):
         """Return the streams told, and those sent since."""
@@ -259,6 +271,7 @@
     cost_s: float
     finish_s: float
     rank_s: float
+    unknown_tokens: int = 0
 
 
 @attrs.define
@@ -267,12 +280,18 @@
 
     ``kv_tokens`` is the memory of one engine.  Servers are those that may
     be used, from this VM's own register.
+
+    A document that is not known here may have been read before this VM
+    began to schedule.  New documents are put at the decode engine that
+    hashing names where that is not full, so there an unknown one is looked
+    for; ``unknown_share`` is the part that was not found.
     """
 
     kv_tokens: int
     engines: dict = attrs.field(factory=dict)
     jobs: dict = attrs.field(factory=dict)
     asked_s: float = float('-inf')
+    unknown_share: float = 1.0
     busy_at_s: collections.deque = attrs.field(factory=collections.deque)
     outliers: outliers_module.Outliers = attrs.field(
         factory=outliers_module.Outliers
@@ -324,52 +343,59 @@
             for server in servers
             if self.engine(server).kept.has(ask.document, now)
         ]
-        target = min(
-            decodes, key=lambda s: self._stream_rank(s, ask, holders, now)
-        )
+        home = max(decodes, key=lambda s: placement.weight(ask.document, s))
+        keepers = holders or [home]
+        target = min(decodes, key=lambda s: self._stream_rank(s, keepers, now))
+        sources = holders, home
         ways = [
-            self._way(ask, server, target, holders, now)
+            self._way(ask, server, target, sources, now)
             for server in servers
             if server.is_prefill_only
         ]
         for server in decodes:
-            way = self._way(ask, server, server, holders, now)
+            way = self._way(ask, server, server, sources, now)
             if self._may_read_direct(ask, way):
                 ways.append(way)
         if not ways:
-            ways = [self._way(ask, target, target, holders, now)]
+            ways = [self._way(ask, target, target, sources, now)]
         return min(ways, key=lambda way: way.rank_s)
 
-    def _stream_rank(self, server, ask, holders, now):
-        """Order decode engines for a stream, also by a hash that is stable.
-
-        The hash lets a VM that has just begun to schedule guess where the
-        one before has put a document.
-        """
+    def _stream_rank(self, server, keepers, now):
+        """Order decode engines for a stream: free places, then copies."""
         engine = self.engine(server)
         streams = engine.count_streams(now)
         cost_s = STREAM_COST_S * streams
         if engine.slots:
             cost_s += OVERFULL_S * max(0, streams + 1 - engine.slots)
-        if server not in holders:
+        if server not in keepers:
             cost_s += COPY_S
-        return cost_s, placement.weight(ask.document, server)
+        return cost_s
 
-    def _way(self, ask, reader, decode, holders, now):
+    def _way(self, ask, reader, decode, sources, now):
+        holders, home = sources
         engine = self.engine(reader)
-        tokens, fetch_from = ask.own_tokens, None
+        tokens, unknown, fetch_from = ask.own_tokens, 0, None
         keeps = ask.document in engine.kept.parts
         if not keeps and holders:
             fetch_from = _nearest(holders, reader)
         elif not keeps:
-            tokens += ask.shared_tokens
+            fetch_from = None if reader is home else home
+            unknown = ask.shared_tokens
+            tokens += int(self.unknown_share * unknown)
         cost_s = engine.pace * _read_s(reader, tokens)
         finish_s = engine.queue_s(now) + cost_s
         if reader is not decode:
             finish_s += HANDOVER_S
         rank_s = finish_s if keeps else finish_s + COPY_S
         return Way(
-            reader, decode, fetch_from, tokens, cost_s, finish_s, rank_s
+            reader,
+            decode,
+            fetch_from,
+            tokens,
+            cost_s,
+            finish_s,
+            rank_s,
+            unknown,
         )
 
     def _may_read_direct(self, ask, way):
@@ -380,7 +406,13 @@
     def _assign(self, ask, way, now):
         engine, decode = self.engine(way.reader), self.engine(way.decode)
         self._drop(ask.request_id, False, now)
-        job = Job(way.reader.life, _read_s(way.reader, way.tokens), now)
+        rate = placement.rate(way.reader)
+        job = Job(
+            way.reader.life,
+            _read_s(way.reader, way.tokens),
+            now,
+            way.unknown_tokens / rate,
+        )
         engine.add(ask.request_id, job, now)
         self.jobs[ask.request_id] = job
         done_s = now + way.finish_s
@@ -423,9 +455,19 @@
             return None
         engine = self.engines.get(job.life)
         if engine is not None:
-            engine.drop(request_id, is_read, now)
+            pace = engine.pace
+            busy_s = engine.drop(request_id, is_read, now)
+            if busy_s is not None and job.shared_read_s:
+                self._learn_unknown(job, busy_s / pace)
         return job.life
 
+    def _learn_unknown(self, job, read_s):
+        """Take how long a prompt with an unknown document took to read."""
+        own_s = job.read_s - self.unknown_share * job.shared_read_s
+        share = (read_s - own_s) / job.shared_read_s
+        share = min(1.0, max(0.0, share))
+        self.unknown_share += UNKNOWN_WEIGHT * (share - self.unknown_share)
+
     def _expire(self, now):
         while self.jobs:
             request_id, job = next(iter(self.jobs.items()))
--- a/src/mangorock/stages.py
+++ b/src/mangorock/stages.py
@@ -47,7 +47,10 @@
 # An engine whose order is open is left alone: a late one is carried out
 # within twelve seconds.
 SETTLE_S = 15.0
-MIN_DECODES = 2
+# Decode engines that stay, and the part of them that is left when a failure
+# domain is lost: they must do then too.
+MIN_DECODES = 8
+LEFT_SHARE = 2 / 3
 MIN_PREFILLS = 1
 
 
@@ -142,7 +145,8 @@
     def _wants_prefill(self, decodes):
         if decodes <= MIN_DECODES:
             return False
-        part = self.occupancy * decodes / (decodes - 1) / MAX_OCCUPANCY
+        left = LEFT_SHARE * (decodes - 1)
+        part = self.occupancy * decodes / left / MAX_OCCUPANCY
         return part <= 1.0 and self.queue_s >= part * LONG_QUEUE_S
 
     def _wants_decode(self, prefills, now):
