--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -411,5 +411,21 @@
             ModelStore._create = made
 
 
+class LapsedLease(unittest.TestCase):
+    """A slow store takes the key after its lease has run out."""
+
+    def test_right_is_sought_anew(self):
+        async def create(key, value, lease):
+            raise presence.LeaseLost()
+
+        world = World(3, vms=1)
+        stager, made = world.stagers[0], world.store.create
+        world.store.create = create
+        stager.wish('s', 'decode3', registry.Stage.PREFILL)
+        curio.run(stager.act, 's')
+        self.assertIsNone(stager.tenures['s'].lease)
+        world.store.create = made
+
+
 if __name__ == '__main__':
     unittest.main()
