--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -1,8 +1,8 @@
-"""Measures the cost of placing long prompts, by the number of engines.
+"""Measures the cost of placing prompts, by the number of engines.
 
 ``python -m bench.scheduling`` prints the CPU time that the scheduler's VM
 spends per prompt: decoding the request, deciding, encoding the answer and
-processing one notice.  It also prints the memory of the scheduler's records
+processing one outcome.  It also prints the memory of the scheduler's records
 of cached documents.
 """
 
@@ -11,11 +11,13 @@
 import time
 import tracemalloc
 
+from mangorock import catalog
 from mangorock import consultation
+from mangorock import messages
 from mangorock import registry
 from mangorock import scheduler
 
-KV_TOKENS = 390_000
+PROFILE = catalog.EngineProfile(16, 390_000, 5.0)
 DOCUMENT_TOKENS = 13_300
 REQUESTS = 3000
 
@@ -43,14 +45,22 @@
     because tracing allocations slows the code down.
     """
     rng, engines = random.Random(1), make_engines(count)
-    tested_scheduler, cpu_s = scheduler.Scheduler(KV_TOKENS), 0.0
+    tested_scheduler, cpu_s = scheduler.Scheduler(PROFILE), 0.0
     tracemalloc.start()
     memory_before_bytes = tracemalloc.get_traced_memory()[0]
     for number in range(REQUESTS):
         now = number * 2.0 / count
         document = f'd{rng.randrange(18 * count)}'
-        request = scheduler.Ask(
-            's', f'r{number}', document, DOCUMENT_TOKENS, 3700, 0.2, 9.0, 9.0
+        request = messages.PlacementRequest(
+            's',
+            f'r{number}',
+            document,
+            DOCUMENT_TOKENS,
+            3700,
+            0.2,
+            9.0,
+            9.0,
+            9.0,
         )
         datagram = consultation.encode(1, request)
         if number == REQUESTS - 500:
@@ -61,10 +71,10 @@
             cpu_s = 0.0
         started_s = time.process_time()
         _, decoded_request = consultation.decode(datagram)
-        answer = tested_scheduler.place(decoded_request, engines, now)
+        answer, _ = tested_scheduler.place(decoded_request, engines, now)
         consultation.encode(1, answer)
-        notice = scheduler.Notice('s', f'r{number}', 0.2, '', 'e1', 3, 0, 16)
-        tested_scheduler.record_outcome(notice, engines, now + 0.2)
+        outcome = messages.Outcome('s', f'r{number}', 0.2, '', 'e1', 3, 0, 16)
+        tested_scheduler.record_outcome(outcome, engines, now + 0.2)
         cpu_s += time.process_time() - started_s
     return cpu_s / 500, memory_bytes
 
--- a/src/mangorock/catalog.py
+++ b/src/mangorock/catalog.py
@@ -78,12 +78,14 @@
 
     ``slots`` is the number of requests that run at once, ``kv_tokens`` the
     capacity of the KV cache and ``handle_ttl_s`` how long an engine keeps a
-    prefilled prompt for its decode.
+    prefilled prompt for its decode.  One event of a stream holds up to
+    ``event_tokens`` tokens.
     """
 
     slots: int
     kv_tokens: int
     handle_ttl_s: float
+    event_tokens: int = 1
 
 
 @attrs.frozen
--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -1,14 +1,16 @@
-"""Asks one entry VM to schedule the long prompts of all, over UDP.
+"""Asks one entry VM to schedule the generations of all, over UDP.
 
 For each service, every VM ranks the VMs of its region by the same hash, and
 the first one that replies is the scheduler.  There is no election and no
 consensus: a reply is advice, and a VM that gets none in time places the prompt
 by itself.  So a network partition, a frozen VM or a lost datagram delays a
 request by `REPLY_TIMEOUT_S` at most, and affects only two requests in
-`SKIP_S`.
+`SKIP_S`.  A prompt that is queued there is asked for again every
+`REFRESH_S`, which notices a VM that was lost meanwhile.
 
-A datagram is a JSON list: the class name of a message in ``scheduler``, a
-request number that the reply repeats, and the fields of the message.
+A datagram is a JSON list: the class name of a message in ``messages``, a
+request number that the reply repeats, and the fields of the message.  One of
+an unknown class, as another build may send it, is dropped.
 """
 
 import itertools
@@ -22,8 +24,8 @@
 
 from mangorock import logs
 from mangorock import membership
+from mangorock import messages
 from mangorock import registry
-from mangorock import scheduler
 
 # Ten round trips between failure domains, and less than the prefill of a
 # prompt.
@@ -36,18 +38,12 @@
 # because one VM serves all.
 MIN_CAPACITY_SHARE = 0.5
 MAX_DATAGRAM_BYTES = 2048
-MESSAGES = {
-    kind.__name__: kind
-    for kind in (
-        scheduler.Ask,
-        scheduler.Assignment,
-        scheduler.Away,
-        scheduler.Busy,
-        scheduler.Hopeless,
-        scheduler.Notice,
-        scheduler.Wish,
-    )
-}
+# Time after which the answer to a queued request is asked for again.
+REFRESH_S = 0.2
+# Interval at which waiting prompts are assigned, which bounds the cost of many
+# outcomes in a short time.
+WAITING_INTERVAL_S = 0.006
+MESSAGES = {kind.__name__: kind for kind in messages.KINDS}
 
 
 @attrs.frozen
@@ -70,6 +66,8 @@
     """Return (number, message), or raise `ValueError`."""
     try:
         kind, number, fields = orjson.loads(data)
+        if type(number) is not int:
+            raise ValueError(f'{number!r} is not a request number')
         return number, MESSAGES[kind](**fields)
     except (ValueError, TypeError, KeyError) as exc:
         raise ValueError(f'not a valid scheduler message: {exc!r}')
@@ -171,74 +169,122 @@
         self.on_stage_request = None
         self.request_numbers = itertools.count(1)
         self.pending_replies = {}
+        self.waiting_services = set()
+        self.has_waiting = curio.Event()
         self.raw_socket = None
         self.sock = None
-        self.task = None
+        self.tasks = []
 
     async def start(self, address):
         """Bind to ``address`` and start to receive."""
         self.raw_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.raw_socket.bind(address)
         self.sock = curio.io.Socket(self.raw_socket)
-        self.task = await curio.spawn(self._receive, daemon=True)
+        for loop in (self._receive, self._serve_waiting):
+            self.tasks.append(await curio.spawn(loop, daemon=True))
 
     async def close(self):
         """Stop receiving; may be called twice."""
-        if self.task is not None:
-            await self.task.cancel()
-            await self.sock.close()
-            self.task = None
+        if not self.tasks:
+            return
+        while self.tasks:
+            await self.tasks.pop().cancel()
+        await self.sock.close()
 
-    async def ask(self, ask):
-        """Return the scheduler's reply to an `Ask`, or None without one."""
-        now = time.monotonic()
-        peer = self.directory.scheduler_of(ask.service, now)
-        if peer is None:
-            return self._place(ask)
+    async def ask(self, make_request):
+        """Return the scheduler's `Assignment` or `Rejection`, or None.
+
+        ``make_request()`` returns the `messages.PlacementRequest` with the
+        times that are left now.  None says that no scheduler answered.
+        """
+        request, answer = make_request(), None
+        service = request.service
+        peer = self.directory.scheduler_of(service, time.monotonic())
         number = next(self.request_numbers)
-        answer = self.pending_replies[number] = PendingReply()
-        self._send(number, ask, peer.address)
+        pending = self.pending_replies[number] = PendingReply()
         try:
-            async with curio.ignore_after(REPLY_TIMEOUT_S):
-                await answer.event.wait()
+            if peer is None:
+                answer = await self._ask_here(request, pending)
+            else:
+                answer = await self._ask_peer(
+                    make_request, number, pending, peer
+                )
+            return answer
         finally:
             del self.pending_replies[number]
-        if answer.event.is_set():
+            if not isinstance(answer, messages.Assignment):
+                self.report_outcome(
+                    messages.Outcome(
+                        service, request.request_id, messages.NOT_PREFILLED
+                    )
+                )
+
+    async def _ask_here(self, request, pending):
+        """Return the answer of this VM's own scheduler."""
+        answer = await self._place(request, pending)
+        if isinstance(answer, messages.Queued):
+            return await pending.take()
+        return answer
+
+    async def _ask_peer(self, make_request, number, pending, peer):
+        """Return the answer of another VM, or None if it is silent."""
+        while True:
+            request, sent_s = make_request(), time.monotonic()
+            self._send(number, request, peer.address)
+            answer = await pending.take(REPLY_TIMEOUT_S)
+            if answer is None:
+                self._record_silence(request, peer, sent_s)
+                return None
             self.directory.on_reply(peer.vm)
+            if isinstance(answer, messages.Queued):
+                answer = await pending.take(REFRESH_S)
+            if answer is not None and not isinstance(answer, messages.Queued):
+                return answer
+
+    def _record_silence(self, request, peer, sent_s):
+        now = time.monotonic()
+        self.directory.on_timeout(peer.vm, now)
+        logs.event(
+            'scheduler_silent',
+            request=request.request_id,
+            service=request.service,
+            vm=peer.vm,
+            waited_s=now - sent_s,
+        )
+
+    def report_outcome(self, outcome):
+        """Send an `Outcome` to the scheduler; it may be lost."""
+        now = time.monotonic()
+        peer = self.directory.scheduler_of(outcome.service, now)
+        if peer is None:
+            self._record_outcome(outcome)
         else:
-            self.directory.on_timeout(peer.vm, now)
-            logs.event(
-                'scheduler_silent',
-                request=ask.request_id,
-                service=ask.service,
-                vm=peer.vm,
-                waited_s=time.monotonic() - now,
-            )
-        return answer.message
+            self._send(0, outcome, peer.address)
 
-    def report_outcome(self, notice):
-        """Send a `Notice` to the scheduler; it may be lost."""
-        peer = self.directory.scheduler_of(notice.service, time.monotonic())
+    def report_pace(self, pace):
+        """Send a `StreamPace` to the scheduler; it may be lost."""
+        now = time.monotonic()
+        peer = self.directory.scheduler_of(pace.service, now)
         if peer is None:
-            self._record_outcome(notice)
+            self._record_pace(pace)
         else:
-            self._send(0, notice, peer.address)
+            self._send(0, pace, peer.address)
 
     def request_stage(self, service, server_id, stage):
-        """Send a `Wish` to the stage controller; it may be lost."""
+        """Send a `StageRequest` to the stage controller; it may be lost."""
         peer = self.directory.stage_controller_of(service, time.monotonic())
         if peer is None:
             self.on_stage_request(service, server_id, stage)
         else:
-            wish = scheduler.Wish(service, server_id, stage.value)
-            self._send(0, wish, peer.address)
+            request = messages.StageRequest(service, server_id, stage.value)
+            self._send(0, request, peer.address)
 
     def announce_away(self, service, server_id, seconds):
         """Tell all VMs to send nothing to an engine for some seconds."""
         self.pause(server_id, seconds)
-        away = scheduler.Away(service, server_id, seconds)
+        pause = messages.EnginePause(service, server_id, seconds)
         for peer in self.directory.all_peers:
-            self._send(0, away, peer.address)
+            self._send(0, pause, peer.address)
 
     def _send(self, number, message, address):
         try:
@@ -260,46 +306,129 @@
             try:
                 number, message = decode(data)
             except ValueError as exc:
-                logs.warning('datagram_malformed', sender=sender, error=exc)
+                logs.event('datagram_malformed', sender=sender, error=exc)
                 continue
-            await self._handle(number, message, sender)
+            try:
+                await self._handle(number, message, sender)
+            except Exception as exc:
+                # One message must not end the exchange with all VMs.
+                logs.exception(
+                    'datagram_failed', sender=sender, error=repr(exc)
+                )
 
     async def _handle(self, number, message, sender):
         match message:
-            case scheduler.Ask():
-                answer = self._place(message)
+            case messages.PlacementRequest():
+                answer = await self._place(
+                    message, RemoteReply(number, sender)
+                )
                 if answer is not None:
                     self._send(number, answer, sender)
-            case scheduler.Notice():
+            case messages.Outcome():
                 self._record_outcome(message)
-            case scheduler.Wish():
+            case messages.StreamPace():
+                self._record_pace(message)
+            case messages.StageRequest():
                 stage = registry.Stage(message.stage)
                 self.on_stage_request(message.service, message.server, stage)
-            case scheduler.Away():
+            case messages.EnginePause():
                 self.pause(message.server, message.seconds)
             case _:
-                waiting = self.pending_replies.get(number)
-                if waiting is not None:
-                    waiting.message = message
-                    await waiting.event.set()
+                pending = self.pending_replies.get(number)
+                if pending is not None:
+                    await pending.put(message)
 
-    def _place(self, ask):
-        found = self.schedulers(ask.service)
+    async def _place(self, request, reply):
+        """Return the local scheduler's answer, or None if it has none."""
+        found = self.schedulers(request.service)
         if found is None:
             return None
-        servers = self.servers(ask.service)
-        return found.place(ask, servers, time.monotonic())
+        servers = self.servers(request.service)
+        answer, others = found.place(request, servers, time.monotonic(), reply)
+        if isinstance(answer, messages.Queued):
+            self.waiting_services.add(request.service)
+            await self.has_waiting.set()
+        await self._deliver(others)
+        return answer
+
+    async def _assign_waiting(self, service):
+        """Assign the waiting prompts of a service that are due."""
+        found = self.schedulers(service)
+        if found is not None and found.backlog.prompts:
+            servers = self.servers(service)
+            await self._deliver(
+                found.assign_waiting(servers, time.monotonic())
+            )
+        if found is None or not found.backlog.prompts:
+            self.waiting_services.discard(service)
+
+    async def _serve_waiting(self):
+        """Assign waiting prompts periodically, for ever."""
+        while True:
+            await self.has_waiting.wait()
+            self.has_waiting.clear()
+            while self.waiting_services:
+                await curio.sleep(WAITING_INTERVAL_S)
+                for service in list(self.waiting_services):
+                    try:
+                        await self._assign_waiting(service)
+                    except Exception as exc:
+                        # The prompts are asked for again.
+                        logs.exception(
+                            'waiting_not_served',
+                            service=service,
+                            error=repr(exc),
+                        )
+
+    async def _deliver(self, answers):
+        for prompt, message in answers:
+            match prompt.reply:
+                case RemoteReply(number, address):
+                    self._send(number, message, address)
+                case PendingReply():
+                    await prompt.reply.put(message)
+
+    def _record_pace(self, pace):
+        found = self.schedulers(pace.service)
+        if found is not None:
+            servers = self.servers(pace.service)
+            found.record_pace(pace, servers)
 
-    def _record_outcome(self, notice):
-        found = self.schedulers(notice.service)
+    def _record_outcome(self, outcome):
+        found = self.schedulers(outcome.service)
         if found is not None:
-            servers = self.servers(notice.service)
-            found.record_outcome(notice, servers, time.monotonic())
+            servers = self.servers(outcome.service)
+            found.record_outcome(outcome, servers, time.monotonic())
+
+
+@attrs.frozen
+class RemoteReply:
+    """Where the answer to another VM's request goes."""
+
+    number: int
+    address: tuple
 
 
 @attrs.define(eq=False)
 class PendingReply:
-    """A reply that a request waits for."""
+    """The answer that a request of this VM waits for."""
 
     event: curio.Event = attrs.field(factory=curio.Event)
     message: object = None
+
+    async def put(self, message):
+        """Pass an answer on; a late `Queued` does not replace another."""
+        if self.message is None or not isinstance(message, messages.Queued):
+            self.message = message
+            await self.event.set()
+
+    async def take(self, seconds=None):
+        """Return the next answer, or None after ``seconds``."""
+        if seconds is None:
+            await self.event.wait()
+        else:
+            async with curio.ignore_after(seconds):
+                await self.event.wait()
+        self.event.clear()
+        message, self.message = self.message, None
+        return message
--- a/src/mangorock/events.py
+++ b/src/mangorock/events.py
@@ -26,10 +26,14 @@
 
 @attrs.define
 class EventSplitter:
-    """Keeps the id of the last complete event and the bytes after it."""
+    """Keeps the id of the last complete event and the bytes after it.
+
+    ``event_count`` is the number of complete events so far.
+    """
 
     last_id: int | None = None
     partial_event: bytes = b''
+    event_count: int = 0
 
     def feed(self, data):
         """Return the events that ``data`` completes, as bytes.
@@ -45,6 +49,7 @@
         return data[:end_offset]
 
     def _check_id(self, event):
+        self.event_count += 1
         found = _ID.search(event)
         if found is None:
             return
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -41,6 +41,8 @@
 MAX_NOT_RUN_RETRIES = 3
 # Range in seconds from which Retry-After is drawn, to spread the callers.
 RETRY_AFTER_RANGE_S = (0.8, 1.6)
+# Range of the factor on a known time until there is room.
+RETRY_AFTER_SPREAD = (0.9, 1.4)
 # Short while this VM stops, since another VM can take the request at once.
 STOP_RETRY_AFTER_S = 0.05
 # Retries that each VM may make, as a fraction of the requests it receives,
@@ -247,6 +249,13 @@
         """Return a random Retry-After value, in seconds."""
         return self.rng.uniform(*RETRY_AFTER_RANGE_S)
 
+    def spread(self, seconds):
+        """Return a Retry-After value near ``seconds``.
+
+        It differs from caller to caller, so that they do not return at once.
+        """
+        return seconds * self.rng.uniform(*RETRY_AFTER_SPREAD)
+
     def eligible_servers(self, context):
         """Return the healthy servers that this request has not tried yet."""
         return [
@@ -273,15 +282,15 @@
         found = self.schedulers.get(service)
         if found is None:
             logs.event('scheduling_began', service=service)
-            found = scheduler.Scheduler(entry.engine.kv_tokens)
+            found = scheduler.Scheduler(entry.engine)
             self.schedulers[service] = found
         return found
 
-    async def ask_scheduler(self, ask):
+    async def ask_scheduler(self, make_request):
         """Return the answer of the shared scheduler, None if there is none."""
         if self.scheduler_endpoint is None:
             return None
-        return await self.scheduler_endpoint.ask(ask)
+        return await self.scheduler_endpoint.ask(make_request)
 
     def pause(self, server_id, seconds):
         """Send a server no new requests for some seconds."""
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -14,22 +14,26 @@
 import curio.errors
 
 from mangorock import events
+from mangorock import logs
+from mangorock import messages
 from mangorock import metrics
 from mangorock import placement
 from mangorock import refusals
-from mangorock import scheduler
 from mangorock import sending
 
 # Silence after which a resumable stream is given up: a multiple of the target
-# latency before its first event, of the longest allowed pause after it.
+# latency before its first event, of the longest allowed pause after it, and
+# at least this share of the time after which the caller gives up.  A loaded
+# engine is slow but sound, and to start again elsewhere adds to the load.
 FIRST_EVENT_TARGET_FACTOR = 2.5
 MAX_GAP_FACTOR = 3.0
+SILENCE_SHARE = 0.5
 MIN_SILENCE_LIMIT_S = 0.6
 # Part of the time until the caller gives up that prefill leaves to decode.
 DECODE_RESERVE_S = 0.1
 MAX_PREFILL_ATTEMPTS = 2
-# Reported instead of a duration for a prompt that was not processed.
-NOT_READ = -1.0
+# Interval at which the pace of a stream is reported, in seconds.
+PACE_INTERVAL_S = 0.5
 
 
 @attrs.define
@@ -42,14 +46,16 @@
     placer: object
     server: object
     tokens: int
-
+    cost_s: float | None = None
     started_s: float = attrs.field(factory=time.monotonic)
 
     def complete(self):
         """Record that the prompt was processed; return the seconds taken."""
         seconds = time.monotonic() - self.started_s
         if self.tokens:
-            self.placer.on_prefilled(self.server, self.tokens, seconds)
+            self.placer.on_prefilled(
+                self.server, self.tokens, seconds, self.cost_s
+            )
         self.release()
         return seconds
 
@@ -78,18 +84,34 @@
     server: object = None
     on_first_event: object = None
     last_event_at_s: float = 0.0
+    on_pace: object = None
+    paced_from_s: float = 0.0
+    paced_events: int = 0
 
-    def switch_server(self, placer, server, on_first_event):
+    def switch_server(self, placer, server, on_first_event, on_pace):
         """Relay the events of another server from now on.
 
-        ``on_first_event(answer)`` is called once, for the first of them.
+        ``on_first_event(answer)`` is called once, for the first of them, and
+        ``on_pace(server, events, seconds)`` at times for some of them.
         """
-        self.placer, self.server, self.on_first_event = (
+        self.placer, self.server, self.on_first_event, self.on_pace = (
             placer,
             server,
             on_first_event,
+            on_pace,
         )
         self.last_event_at_s = 0.0
+        self.paced_events = self.splitter.event_count
+
+    def report_pace(self):
+        """Report the events since the last report, if there are any."""
+        event_count = self.splitter.event_count - self.paced_events
+        if self.last_event_at_s and event_count > 1:
+            seconds = self.last_event_at_s - self.paced_from_s
+            self.on_pace(self.server, event_count, seconds)
+            # The last event reported is the first one of the next report.
+            self.paced_from_s = self.last_event_at_s
+            self.paced_events = self.splitter.event_count - 1
 
     async def feed(self, answer, data):
         """Write complete events to the caller.
@@ -101,8 +123,11 @@
         if self.last_event_at_s:
             self.placer.on_gap(self.server, now - self.last_event_at_s, now)
         else:
+            self.paced_from_s = now
             self.on_first_event(answer)
         self.last_event_at_s = now
+        if now - self.paced_from_s > PACE_INTERVAL_S:
+            self.report_pace()
         try:
             if not self.reply.is_started:
                 await self.reply.start(answer.status, answer.headers, data)
@@ -145,7 +170,7 @@
             try:
                 outcome = await self._attempt(placed)
             finally:
-                self._notify_scheduler(NOT_READ)
+                self._notify_scheduler(messages.NOT_PREFILLED)
                 await gateway.notify_first_waiter(context.service)
             gateway.log_attempt(context, placed.decode, outcome)
             match outcome:
@@ -161,14 +186,11 @@
     async def _choose_placement(self):
         """Return a `placement.Placement`.
 
-        Long prompts are placed by the shared scheduler if it answers, all
-        others by this VM.
+        Prompts are placed by the shared scheduler if it answers, else by
+        this VM.
         """
-        prompt = self.context.request.prompt
-        if (
-            prompt is not None
-            and prompt.tokens >= placement.LONG_PROMPT_TOKENS
-        ):
+        is_generation = self.service.engine is not None
+        if is_generation and self.context.request.prompt is not None:
             placed = await self._ask_scheduler()
             if placed is not None:
                 return placed
@@ -183,36 +205,56 @@
         here.  Raises `errors.Overloaded` if no engine can answer in time.
         """
         gateway, context = self.gateway, self.context
-        target_at_s = context.request.received_s + context.route.target_s
-        while True:
-            left_s = target_at_s - time.monotonic()
-            answer = await gateway.ask_scheduler(self._make_ask(left_s))
-            match answer:
-                case scheduler.Assignment():
-                    self.is_notice_due = True
-                    return self._resolve_assignment(answer)
-                case scheduler.Busy() if left_s > 0:
-                    await curio.sleep(answer.wait_s)
-                case scheduler.Busy():
-                    raise refusals.overloaded(context, gateway.retry_after_s())
-                case scheduler.Hopeless():
-                    raise refusals.no_answer_in_time(
-                        context, gateway.retry_after_s()
-                    )
-                case _:
+        try:
+            self._make_request()
+        except ValueError as exc:
+            # The caller's headers describe a prompt that no engine can take.
+            logs.event(
+                'prompt_not_schedulable',
+                request=context.request.request_id,
+                error=exc,
+            )
+            return None
+        match await gateway.ask_scheduler(self._make_request):
+            case messages.Assignment() as assignment:
+                self.is_notice_due = True
+                return self._resolve_assignment(assignment)
+            case messages.Rejection(retry_after_s):
+                if self.relay.reply.is_started:
                     return None
+                raise refusals.no_answer_in_time(
+                    context, gateway.spread(retry_after_s)
+                )
+        return None
+
+    def _make_request(self):
+        """Return the `messages.PlacementRequest` as of now.
 
-    def _make_ask(self, target_left_s):
+        A stream that is resumed comes first: its caller waits for the next
+        event.
+        """
         context, prompt = self.context, self.context.request.prompt
-        return scheduler.Ask(
+        route, now = context.route, time.monotonic()
+        priority = route.priority
+        target_at_s = context.request.received_s + route.target_s
+        if self.relay.reply.is_started:
+            priority = messages.RESUMED_PRIORITY
+            target_at_s = now + route.max_gap_s
+        shared_tokens = min(prompt.shared_tokens, prompt.tokens)
+        return messages.PlacementRequest(
             service=context.service,
             request_id=context.request.request_id,
             document=prompt.shared_part_id,
-            shared_tokens=prompt.shared_tokens,
-            own_tokens=prompt.tokens - prompt.shared_tokens,
-            max_gap_s=context.route.max_gap_s,
-            target_left_s=target_left_s,
+            shared_tokens=shared_tokens,
+            own_tokens=prompt.tokens - shared_tokens,
+            max_gap_s=route.max_gap_s,
+            target_s=route.target_s,
+            target_left_s=target_at_s - now,
             left_s=self._first_event_left_s(),
+            priority=priority,
+            end_left_s=context.left_s,
+            output_events=prompt.expected_output_tokens
+            / self.service.engine.event_tokens,
             tried=[server_id for server_id, _ in context.tried],
         )
 
@@ -228,11 +270,14 @@
         prefill = usable.get(assignment.prefill)
         gateway.log_assignment(context, assignment)
         if decode is None or (assignment.prefill and prefill is None):
-            self._notify_scheduler(NOT_READ)
+            self._notify_scheduler(messages.NOT_PREFILLED)
             return None
-        affinity_server = usable.get(assignment.fetch_from)
         return placement.Placement(
-            decode, prefill, assignment.tokens, affinity_server
+            decode,
+            prefill,
+            assignment.tokens,
+            usable.get(assignment.fetch_from),
+            assignment.cost_s,
         )
 
     def _notify_scheduler(self, seconds, decode='', load=None, failed=''):
@@ -244,9 +289,11 @@
         """
         if not self.is_notice_due:
             return
-        self.is_notice_due = bool(load is None and seconds != NOT_READ)
+        self.is_notice_due = bool(
+            load is None and seconds != messages.NOT_PREFILLED
+        )
         context = self.context
-        notice = scheduler.Notice(
+        outcome = messages.Outcome(
             context.service,
             context.request.request_id,
             seconds,
@@ -254,13 +301,13 @@
             decode,
         )
         if load is not None:
-            notice = attrs.evolve(
-                notice,
+            outcome = attrs.evolve(
+                outcome,
                 running=load.running,
                 waiting=load.waiting,
                 slots=load.slots,
             )
-        self.gateway.scheduler_endpoint.report_outcome(notice)
+        self.gateway.scheduler_endpoint.report_outcome(outcome)
 
     def _place_locally(self):
         gateway, context = self.gateway, self.context
@@ -277,12 +324,13 @@
         )
 
     def _make_demand(self):
-        prompt = self.context.request.prompt
-        tokens = prompt.tokens
-        if prompt.shared_tokens >= placement.LONG_PROMPT_TOKENS:
-            # Assume that some engine has a shared prefix this long cached.
-            tokens -= prompt.shared_tokens
-        return placement.Demand(prompt, tokens, self.context.route.max_gap_s)
+        route = self.context.route
+        return placement.Demand(
+            self.context.request.prompt,
+            route.max_gap_s,
+            route.target_s,
+            self.service.engine.slots if self.service.engine else 1,
+        )
 
     def _is_final(self, answer):
         if self.relay.reply.is_started:
@@ -294,7 +342,9 @@
         handle = None
         placer = self.gateway.placer
         reader = placed.prefill or placed.decode
-        self.pending_prompt = PendingPrompt(placer, reader, placed.tokens)
+        self.pending_prompt = PendingPrompt(
+            placer, reader, placed.tokens, placed.cost_s
+        )
         is_handle_used = False
         try:
             if placed.prefill is not None:
@@ -304,9 +354,12 @@
                     return sending.Unsent('no engine processed the prompt')
                 self._notify_scheduler(self.pending_prompt.complete())
             self.relay.switch_server(
-                placer, placed.decode, self._on_first_event
+                placer, placed.decode, self._on_first_event, self._report_pace
             )
-            outcome = await self._decode(placed, handle)
+            try:
+                outcome = await self._decode(placed, handle)
+            finally:
+                self.relay.report_pace()
             is_handle_used = isinstance(outcome, sending.Streamed)
             return outcome
         finally:
@@ -316,6 +369,19 @@
                     self.gateway.sender.free_handle, handle, daemon=True
                 )
 
+    def _report_pace(self, server, event_count, seconds):
+        """Tell the scheduler how fast events of a stream came."""
+        endpoint = self.gateway.scheduler_endpoint
+        if endpoint is not None and event_count > 1:
+            endpoint.report_pace(
+                messages.StreamPace(
+                    self.context.service,
+                    server.server_id,
+                    event_count,
+                    seconds,
+                )
+            )
+
     def _on_first_event(self, answer):
         """Record that the prompt is processed; report the engine load."""
         seconds = self.pending_prompt.complete()
@@ -361,7 +427,9 @@
                 )
         except curio.errors.TaskTimeout:
             gateway.sender.record_failure(server)
-            self._notify_scheduler(NOT_READ, failed=server.server_id)
+            self._notify_scheduler(
+                messages.NOT_PREFILLED, failed=server.server_id
+            )
             raise refusals.no_answer_in_time(context, gateway.retry_after_s())
         match outcome:
             case sending.Whole(answer, body) if answer.is_success:
@@ -369,7 +437,9 @@
         context.tried.add(server.incarnation)
         gateway.log_attempt(context, server, outcome)
         if not isinstance(outcome, sending.Refused):
-            self._notify_scheduler(NOT_READ, failed=server.server_id)
+            self._notify_scheduler(
+                messages.NOT_PREFILLED, failed=server.server_id
+            )
         return None
 
     async def _decode(self, placed, handle):
@@ -395,7 +465,14 @@
         )
         context.record_outcome(outcome, may_have_run_before)
         if isinstance(outcome, (sending.Broken, sending.Unreachable)):
-            self._notify_scheduler(NOT_READ, failed=server.server_id)
+            self._notify_scheduler(
+                messages.NOT_PREFILLED, failed=server.server_id
+            )
+        if isinstance(outcome, sending.Refused) and handle is not None:
+            # The engine that kept the KV cache may have lost it.
+            self._notify_scheduler(
+                messages.NOT_PREFILLED, failed=placed.prefill.server_id
+            )
         return outcome
 
     def _first_event_left_s(self):
@@ -403,7 +480,10 @@
         caller_read_timeout_s = self.context.route.caller_read_timeout_s
         if caller_read_timeout_s is None:
             return self.context.left_s
-        waited_s = time.monotonic() - self.context.request.received_s
+        waiting_since_s = self.context.request.received_s
+        if self.relay.reply.is_started:
+            waiting_since_s = self.relay.last_event_at_s or waiting_since_s
+        waited_s = time.monotonic() - waiting_since_s
         return min(self.context.left_s, caller_read_timeout_s - waited_s)
 
     def _silence_limits(self):
@@ -413,12 +493,13 @@
         )
         if not can_resume:
             return sending.SilenceLimits(route.is_repeatable)
+        least_s = MIN_SILENCE_LIMIT_S
+        if route.caller_read_timeout_s is not None:
+            least_s = SILENCE_SHARE * route.caller_read_timeout_s
         return sending.SilenceLimits(
             True,
-            max(
-                MIN_SILENCE_LIMIT_S, FIRST_EVENT_TARGET_FACTOR * route.target_s
-            ),
-            max(MIN_SILENCE_LIMIT_S, MAX_GAP_FACTOR * route.max_gap_s),
+            max(least_s, FIRST_EVENT_TARGET_FACTOR * route.target_s),
+            max(least_s, MAX_GAP_FACTOR * route.max_gap_s),
         )
 
 
--- a/src/mangorock/placement.py
+++ b/src/mangorock/placement.py
@@ -19,22 +19,19 @@
 
 import attrs
 
+from mangorock import engines
 from mangorock import registry
 
-# Prompts with more tokens to prefill count as long; shared parts of at least
-# this size are routed to the engine that caches them.
-LONG_PROMPT_TOKENS = 2000
-# Limit on the requests of all entry VMs in flight at one decode engine.
-MAX_DECODE_IN_FLIGHT = 64
-# Limits on the tokens of all entry VMs that one engine has still to prefill:
-# about what it prefills within the latency target of the longest stage, at
-# the rates below.
-MAX_PREFILL_BACKLOG_TOKENS = 45000
-MAX_DECODE_BACKLOG_TOKENS = 16000
-# Prefill rates of an average engine; each engine's measured slowdown corrects
-# them.
-PREFILL_TOKENS_PER_S = 48000
-DECODE_TOKENS_PER_S = 24000
+# A shared part is routed to the engine that caches it if its prefill takes at
+# least this long, in seconds; a shorter one is not worth the detour.
+MIN_AFFINITY_S = 0.04
+# A decode engine may serve this many times its slots for all entry VMs
+# together, since their shares are never used up at the same time.
+SLOTS_FACTOR = 2
+# Longest prefill queue of an engine, as a multiple of the request's target
+# latency, for prefill engines and for decode engines.
+PREFILL_QUEUE_TARGETS = 1.5
+DECODE_QUEUE_TARGETS = 1.1
 # Each other VM is assumed to have this part of this VM's backlog.
 OTHER_VMS_FACTOR = 0.5
 # A VM's first prompt at an engine may exceed the backlog limit by this factor.
@@ -48,14 +45,14 @@
 # Gaps between events that a generation of ordinary length waits for.
 EXPECTED_GAPS = 1.0
 GAP_WEIGHT = 0.3  # Weight of the newest gap in the moving average.
+# Share of the longest allowed gap between events of a stream that a decode
+# engine may spend on the prefill of one prompt.
+DIRECT_GAP_SHARE = 0.4
 # Shares of the longest allowed gap above which a decode engine prefills no
-# short prompts, or no long ones, itself.
+# prompts itself, and none that take longer than `DIRECT_GAP_SHARE`.
 MAX_GAP_SHARE = 0.7
 LONG_PROMPT_MAX_GAP_SHARE = 0.1
-SLOWDOWN_WEIGHT = 0.1  # Weight of the newest prompt in the moving average.
-MIN_SLOWDOWN = 0.5
-MAX_SLOWDOWN = 3.0
-FIRST_EVENT_OVERHEAD_S = 0.02  # Time to the first event besides prefill.
+PROMPT_TOKENS_WEIGHT = 0.1  # Weight of the newest prompt in the average.
 # How long the load reported by a plain server is used.
 REPORT_VALID_S = 1.0
 # Factor on the cost of a server in another failure domain.
@@ -73,7 +70,6 @@
 
     in_flight: int = 0
     backlog_tokens: int = 0
-    slowdown: float = 1.0
     prompt_tokens: float = 1000.0
     gap_s: float = 0.0
     gap_observed_s: float = 0.0
@@ -86,11 +82,16 @@
 
 @attrs.frozen
 class Demand:
-    """What a generation requires of an engine."""
+    """What a generation requires of an engine with ``slots`` slots.
+
+    ``target_s`` is the time until its first event is late, ``max_gap_s`` the
+    longest pause between its events.
+    """
 
     prompt: object
-    prefill_tokens: int
     max_gap_s: float
+    target_s: float
+    slots: int
 
 
 @attrs.frozen
@@ -111,13 +112,16 @@
 
     ``prefill`` is None where the decode engine prefills the prompt itself;
     ``tokens`` is the number of tokens to prefill; ``affinity_server`` is the
-    engine that caches a long shared part, or None.
+    engine that caches a long shared part, or None.  ``cost_s`` is the time
+    that the scheduler expects the prefill itself to take, None if this VM
+    chose the engines.
     """
 
     decode: registry.BackendServer
     prefill: registry.BackendServer | None = None
     tokens: int = 0
     affinity_server: registry.BackendServer | None = None
+    cost_s: float | None = None
 
     @property
     def servers(self):
@@ -138,6 +142,7 @@
     failure_domain: str
     vm_count: int = 8
     loads: dict = attrs.field(factory=dict)
+    model: engines.PrefillModel = attrs.field(factory=engines.PrefillModel)
 
     def load(self, server):
         """Return the `ServerLoad` of a server's current incarnation."""
@@ -189,6 +194,7 @@
             for incarnation, load in self.loads.items()
             if incarnation in incarnations or load.in_flight
         }
+        self.model.forget(incarnations)
 
     def place_plain(self, servers, max_connections, now):
         """Return the cheapest of ``servers``, or None if all are full."""
@@ -221,35 +227,36 @@
         decode_engines = [s for s in servers if not s.is_prefill_only]
         prefill_engines = [s for s in servers if s.is_prefill_only]
         affinity_server = self._affinity_server(demand.prompt, decode_engines)
+        tokens = demand.prompt.tokens
+        if affinity_server is not None:
+            # Assume that some engine has a shared part this long cached.
+            tokens = max(0, tokens - demand.prompt.shared_tokens)
         options = []
         for decode in decode_engines:
-            if not self._has_capacity(decode):
+            if not self._has_capacity(decode, demand):
                 continue
             wait_s = EXPECTED_GAPS * self._gap_s(decode, now)
             if decode is not affinity_server:
                 wait_s += CACHE_MISS_PENALTY_S
             options += self._options(
-                wait_s, decode, prefill_engines, demand, now
+                wait_s, decode, prefill_engines, demand, tokens, now
             )
         if not options:
             return None
         key = demand.prompt.shared_part_id
         best = min(options, key=lambda option: self._sort_key(option, key))
-        return Placement(
-            best.decode, best.prefill, demand.prefill_tokens, affinity_server
-        )
+        return Placement(best.decode, best.prefill, tokens, affinity_server)
 
-    def _options(self, wait_s, decode, prefill_engines, demand, now):
-        """Return the options to prefill a prompt for ``decode``."""
+    def _options(self, wait_s, decode, prefill_engines, demand, tokens, now):
+        """Return the options to prefill ``tokens`` for ``decode``."""
         options = []
-        if self._may_prefill_locally(decode, demand, now):
-            prefill_s = self._prefill_s(decode, demand, now)
+        if self._may_prefill_locally(decode, demand, tokens, now):
+            prefill_s = self._prefill_s(decode, tokens, now)
             options.append(Option(wait_s + prefill_s, decode))
+        limit_s = PREFILL_QUEUE_TARGETS * demand.target_s
         for prefill in prefill_engines:
-            if self._may_prefill(
-                prefill, demand, MAX_PREFILL_BACKLOG_TOKENS, now
-            ):
-                prefill_s = HANDOVER_S + self._prefill_s(prefill, demand, now)
+            if self._may_prefill(prefill, tokens, limit_s, now):
+                prefill_s = HANDOVER_S + self._prefill_s(prefill, tokens, now)
                 options.append(Option(wait_s + prefill_s, decode, prefill))
         return options
 
@@ -264,10 +271,14 @@
             rendezvous_weight(key, option.decode),
         )
 
-    @staticmethod
-    def _affinity_server(prompt, decode_engines):
+    def _affinity_server(self, prompt, decode_engines):
         """Return the engine that caches a long shared part, or None."""
-        if prompt.shared_tokens < LONG_PROMPT_TOKENS or not decode_engines:
+        if not decode_engines:
+            return None
+        shared_s = prompt.shared_tokens * min(
+            self.model.token_s(server) for server in decode_engines
+        )
+        if shared_s < MIN_AFFINITY_S:
             return None
         key = prompt.shared_part_id
         return max(
@@ -278,10 +289,11 @@
         load = self.load(server)
         return load.gap_s * _decay(now - load.gap_observed_s)
 
-    def _prefill_s(self, server, demand, now):
-        """Return the expected seconds until the prompt is prefilled."""
-        tokens = self._total_backlog(server, now) + demand.prefill_tokens
-        return self.load(server).slowdown * tokens / prefill_rate(server)
+    def _prefill_s(self, server, tokens, now):
+        """Return the expected seconds until ``tokens`` are prefilled."""
+        return self.model.seconds(
+            server, self._total_backlog(server, now) + tokens
+        )
 
     def _total_backlog(self, server, now):
         """Return the tokens of all VMs that a server has still to prefill.
@@ -296,32 +308,28 @@
             return estimated
         prompts = max(0, load.report.running + load.report.waiting - 1)
         reported = prompts * load.prompt_tokens
-        processed = (
-            (now - load.reported_s) * prefill_rate(server) / load.slowdown
-        )
+        processed = (now - load.reported_s) / self.model.token_s(server)
         return max(estimated, reported - processed)
 
-    def _may_prefill(self, server, demand, limit, now):
-        load = self.load(server)
-        tokens = self._total_backlog(server, now) + demand.prefill_tokens
-        if not load.backlog_tokens and tokens <= FIRST_PROMPT_FACTOR * limit:
-            return True
-        return load.slowdown * tokens <= limit
+    def _may_prefill(self, server, tokens, limit_s, now):
+        prefill_s = self._prefill_s(server, tokens, now)
+        if not self.load(server).backlog_tokens:
+            limit_s *= FIRST_PROMPT_FACTOR
+        return prefill_s <= limit_s
 
-    def _may_prefill_locally(self, server, demand, now):
+    def _may_prefill_locally(self, server, demand, tokens, now):
         share = MAX_GAP_SHARE
-        if demand.prefill_tokens > LONG_PROMPT_TOKENS:
+        direct_s = self.model.seconds(server, tokens)
+        if direct_s > DIRECT_GAP_SHARE * demand.max_gap_s:
             share = LONG_PROMPT_MAX_GAP_SHARE
         if self._gap_s(server, now) > share * demand.max_gap_s:
             return False
-        return self._may_prefill(
-            server, demand, MAX_DECODE_BACKLOG_TOKENS, now
-        )
+        limit_s = DECODE_QUEUE_TARGETS * demand.target_s
+        return self._may_prefill(server, tokens, limit_s, now)
 
-    def _has_capacity(self, server):
-        return self.load(server).in_flight < self._vm_share(
-            MAX_DECODE_IN_FLIGHT
-        )
+    def _has_capacity(self, server, demand):
+        share = self._vm_share(SLOTS_FACTOR * demand.slots)
+        return self.load(server).in_flight < share
 
     def on_gap(self, server, gap_s, now):
         """Record the gap between two events of a stream."""
@@ -329,34 +337,31 @@
         load.gap_s += GAP_WEIGHT * (gap_s - load.gap_s)
         load.gap_observed_s = now
 
-    def on_prefilled(self, server, tokens, seconds):
-        """Record how long the prefill of ``tokens`` took."""
+    def on_prefilled(self, server, tokens, seconds, cost_s=None):
+        """Record that the prefill of ``tokens`` took ``seconds``.
+
+        ``cost_s`` is the time without the queue, if a scheduler that knows
+        the queue has told it.
+        """
         load = self.load(server)
-        load.prompt_tokens += SLOWDOWN_WEIGHT * (tokens - load.prompt_tokens)
+        load.prompt_tokens += PROMPT_TOKENS_WEIGHT * (
+            tokens - load.prompt_tokens
+        )
+        if cost_s is not None:
+            self.model.observe(server, tokens, cost_s)
+            return
         other_tokens = (
             max(0, load.backlog_tokens - tokens)
             * self.vm_count
             * OTHER_VMS_FACTOR
         )
-        ratio = seconds / (
-            FIRST_EVENT_OVERHEAD_S
-            + (other_tokens + tokens) / prefill_rate(server)
-        )
-        ratio = min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, ratio))
-        load.slowdown += SLOWDOWN_WEIGHT * (ratio - load.slowdown)
+        self.model.observe(server, other_tokens + tokens, seconds)
 
     def add_backlog(self, server, tokens):
         """Add ``tokens`` to a server's prefill backlog, or subtract them."""
         self.load(server).backlog_tokens += tokens
 
 
-def prefill_rate(server):
-    """Return the prompt tokens an average engine prefills per second."""
-    if not server.is_prefill_only:
-        return DECODE_TOKENS_PER_S
-    return PREFILL_TOKENS_PER_S
-
-
 def _decay(age_s):
     """Return the weight of an observation of this age.
 
--- a/src/mangorock/scheduler.py
+++ b/src/mangorock/scheduler.py
@@ -1,302 +1,56 @@
-"""Schedules the long prompts of all entry VMs on the engines of one service.
-
-A VM that places long prompts alone sees only its own: one every few seconds
-where there are many VMs.  It cannot know the length of each engine's queue,
-nor which engines have a document in their cache.  So one VM, chosen by
-hashing, schedules for all (see ``consultation``).  It handles these cases:
-
-* Long prompts arrive faster than engines prefill them.  Each goes to the
-  engine that finishes it first.  A prompt that will miss its target is
-  admitted only while queues are short, so that it does not delay others.
-* Prompts share documents.  An engine that has the document cached prefills
-  only the rest; any other engine fetches the document from it.
-* Engines differ in speed.  Each engine's speed is learnt from all prompts
-  that it prefills.
-* An engine fails requests although its health check passes.  Failures that
-  one VM reports count against the engine for all VMs.
+"""Schedules the generations of all entry VMs on the engines of one service.
+
+A VM that places prompts alone sees only its own.  It cannot know the length
+of each engine's queue, nor which engines have a document in their cache.  So
+one VM, chosen by hashing, schedules for all (see ``consultation``).
+
+A prompt waits in one `backlog.Backlog`, which decides who is next, until an
+engine is free for it; `choice.Choice` decides where it goes.  Only little
+more than what an engine is busy with is sent to it, so that a more urgent
+prompt need not wait for what came before.
 
 The scheduler's state is advisory and may be lost at any time.  A VM that gets
 no answer places its prompts by itself, and two VMs that schedule at once only
 make placement less efficient.
 """
 
-import collections
-
 import attrs
 
+from mangorock import backlog as backlogs
+from mangorock import choice as choices
+from mangorock import engines as engine_models
+from mangorock import messages
 from mangorock import outliers as outliers_module
-from mangorock import placement
-from mangorock import registry
-
-# Delay from the end of prefill to the first event at the caller, in seconds.
-FIRST_EVENT_DELAY_S = 0.05
-# Extra time for the hand-over to a decode engine, in seconds.
-HANDOVER_S = 0.01
-# An engine without the document must be this much faster to be chosen, in
-# seconds, since the copy evicts other documents from its cache.
-COPY_PENALTY_S = 0.02
-# Longest queue behind which a prompt that misses its target is still placed,
-# in seconds; about half of the time to first token that users ask for.
-MAX_LATE_QUEUE_S = 0.3
-# Share of the longest allowed gap between events of a stream that a decode
-# engine may spend on the prefill of one long prompt.
-DIRECT_GAP_SHARE = 0.4
+
+# An engine gets its next prompt when its queue is expected to end within this
+# time: the outcome and the assignment take some messages between VMs.
+LOOKAHEAD_S = 0.08
+# Prompts that one pass considers, which bounds its cost; those behind them
+# need an engine that the first ones do not.
+MAX_CONSIDERED = 8
+# Waiting prompts of one service; more cannot all be answered.
+MAX_WAITING = 512
+MAX_HANDOVER_S = 0.2
 # Share of the KV cache that holds documents of earlier requests; running
-# requests and short prompts use the rest.
+# requests use the rest.
 CACHE_SHARE = 0.8
 # Weight of the newest sample in `Scheduler.miss_share`.
 MISS_SHARE_WEIGHT = 0.1
-# Fixed overhead for each prompt, in seconds.
-PROMPT_OVERHEAD_S = 0.015
-# Half-life of the samples behind `Engine.slowdown`, in seconds of prefill
-# work.
-SLOWDOWN_WINDOW_S = 1.0
-MIN_SLOWDOWN, MAX_SLOWDOWN = 0.4, 6.0
 # A job whose outcome was not reported is dropped after this time.
 JOB_TIMEOUT_S = 4.0
-# Wait of a prompt that was not placed before it asks again, in seconds, and
-# the extra wait for each `Busy` answer within the last `BUSY_WINDOW_S`.
-RETRY_DELAY_S = 0.06
-RETRY_DELAY_EACH_S = 0.004
-BUSY_WINDOW_S = 0.3
-# A stream that no load report covers yet counts for this long, in seconds.
-UNREPORTED_STREAM_S = 1.0
-# Cost of each stream beyond an engine's slots, and of each running stream, in
-# seconds.
-OVERLOAD_PENALTY_S = 0.02
-STREAM_COST_S = 0.001
-
-_text = attrs.validators.instance_of(str)
-_number = attrs.validators.instance_of((int, float))
-_texts = attrs.validators.deep_iterable(_text)
-
-
-@attrs.frozen
-class Ask:
-    """A request to place a long prompt.
-
-    ``document`` identifies the shared prefix of ``shared_tokens`` tokens;
-    ``own_tokens`` follow it.  ``target_left_s`` is the time until the first
-    event is late, ``left_s`` the time until the caller gives up.  ``tried``
-    are the ids of servers that must not be used.
-    """
-
-    service: str = attrs.field(validator=_text)
-    request_id: str = attrs.field(validator=_text)
-    document: str = attrs.field(validator=_text)
-    shared_tokens: int = attrs.field(validator=_number)
-    own_tokens: int = attrs.field(validator=_number)
-    max_gap_s: float = attrs.field(validator=_number)
-    target_left_s: float = attrs.field(validator=_number)
-    left_s: float = attrs.field(validator=_number)
-    tried: tuple = attrs.field(validator=_texts, converter=tuple, default=())
-
-
-@attrs.frozen
-class Assignment:
-    """The placement of a prompt, by server ids.
-
-    ``prefill`` is '' if the decode engine prefills the prompt itself.
-    ``fetch_from`` is '' or the engine from which the document is fetched.
-    ``tokens`` is the number of tokens left to prefill, expected to take
-    ``expected_s`` including the queue.
-    """
-
-    decode: str = attrs.field(validator=_text)
-    prefill: str = attrs.field(validator=_text)
-    fetch_from: str = attrs.field(validator=_text)
-    tokens: int = attrs.field(validator=_number)
-    expected_s: float = attrs.field(validator=_number)
-
-
-@attrs.frozen
-class Busy:
-    """No engine is free in time; ask again after ``wait_s``."""
-
-    wait_s: float = attrs.field(validator=_number)
-
-
-@attrs.frozen
-class Hopeless:
-    """No engine can prefill the prompt before its caller gives up."""
-
-    best_s: float = attrs.field(validator=_number)
-
-
-@attrs.frozen
-class Away:
-    """An engine changes its stage and accepts no requests for some seconds."""
-
-    service: str = attrs.field(validator=_text)
-    server: str = attrs.field(validator=_text)
-    seconds: float = attrs.field(validator=_number)
-
-
-@attrs.frozen
-class Wish:
-    """A request to change an engine to the given stage."""
-
-    service: str = attrs.field(validator=_text)
-    server: str = attrs.field(validator=_text)
-    stage: str = attrs.field(
-        validator=attrs.validators.in_([s.value for s in registry.Stage])
-    )
-
-
-@attrs.frozen
-class Notice:
-    """The outcome of a prompt: prefilled in ``seconds``, or -1 if it was not.
-
-    ``failed`` is the id of an engine that failed the prompt, or ''.
-    ``decode`` is the engine that streams it; ``running``, ``waiting`` and
-    ``slots`` are the load that this engine reported.  ``slots`` is 0 if it
-    reported none.
-    """
-
-    service: str = attrs.field(validator=_text)
-    request_id: str = attrs.field(validator=_text)
-    seconds: float = attrs.field(validator=_number)
-    failed: str = attrs.field(validator=_text, default='')
-    decode: str = attrs.field(validator=_text, default='')
-    running: int = attrs.field(validator=_number, default=0)
-    waiting: int = attrs.field(validator=_number, default=0)
-    slots: int = attrs.field(validator=_number, default=0)
-
-
-@attrs.define
-class DocumentCache:
-    """A model of the documents in an engine's cache, with LRU eviction.
-
-    Example::
-
-        cache = DocumentCache(capacity=100)
-        cache.touch('a', 60, since_s=0.5)
-        cache.touch('b', 60, since_s=0.7)      # evicts a
-        cache.is_available('b', now=0.6)       # False: prefilled at 0.7
-    """
-
-    capacity: float
-    tokens: float = 0.0
-    entries: collections.OrderedDict = attrs.field(
-        factory=collections.OrderedDict
-    )
-
-    def touch(self, document, tokens, since_s):
-        """Record the use of a document that is cached by ``since_s``."""
-        known, known_since_s = self.entries.pop(document, (0, since_s))
-        self.entries[document] = tokens, min(since_s, known_since_s)
-        self.tokens += tokens - known
-        while self.tokens > self.capacity and len(self.entries) > 1:
-            _, (dropped, _) = self.entries.popitem(last=False)
-            self.tokens -= dropped
-
-    def is_available(self, document, now):
-        """Return whether other engines can fetch the document now."""
-        found = self.entries.get(document)
-        return found is not None and found[1] <= now
-
-
-@attrs.frozen
-class Job:
-    """A prompt in an engine's queue.
-
-    ``nominal_s`` is the prefill time on an engine of average speed.
-    ``nominal_document_s`` is that of the whole document if it is not known
-    whether the engine finds it in a cache, else 0; ``nominal_s`` includes the
-    expected share of it.
-    """
-
-    incarnation: tuple
-    nominal_s: float
-    since_s: float
-    nominal_document_s: float = 0.0
-
-
-@attrs.define
-class Engine:
-    """The queue, speed and cache of one incarnation of an engine.
-
-    ``nominal_s`` is the recently completed prefill work, in seconds of an
-    engine of average speed, and ``busy_s`` the time that it took.  Both decay
-    exponentially as work is completed.
-    """
-
-    cache: DocumentCache
-    nominal_s: float = SLOWDOWN_WINDOW_S / 4
-    busy_s: float = SLOWDOWN_WINDOW_S / 4
-    jobs: dict = attrs.field(factory=dict)
-    job_started_s: float = 0.0
-    stream_starts_s: list = attrs.field(factory=list)
-    running: int = 0
-    slots: int = 0
-
-    @property
-    def slowdown(self):
-        """Return its prefill time relative to an average engine."""
-        return min(
-            MAX_SLOWDOWN, max(MIN_SLOWDOWN, self.busy_s / self.nominal_s)
-        )
-
-    def queue_s(self, now):
-        """Return the seconds until its queue is empty."""
-        if not self.jobs:
-            return 0.0
-        costs = [self.slowdown * job.nominal_s for job in self.jobs.values()]
-        return sum(costs) - min(costs[0], now - self.job_started_s)
-
-    def add_job(self, request_id, job, now):
-        """Append a prompt to its queue."""
-        if not self.jobs:
-            self.job_started_s = now
-        self.jobs[request_id] = job
-
-    def remove_job(self, request_id, is_prefilled, now):
-        """Remove a prompt, and update the slowdown if it was prefilled.
-
-        Returns the time spent on the prompt, or None if it was not prefilled.
-        """
-        job = self.jobs.pop(request_id, None)
-        if job is None or not is_prefilled:
-            return None
-        decay = 0.5 ** (job.nominal_s / SLOWDOWN_WINDOW_S)
-        busy_s = now - self.job_started_s
-        self.nominal_s = decay * self.nominal_s + job.nominal_s
-        self.busy_s = decay * self.busy_s + busy_s
-        self.job_started_s = now
-        return busy_s
-
-    def count_streams(self, now):
-        """Return the reported streams plus those started since."""
-        self.stream_starts_s = [
-            s for s in self.stream_starts_s if now - s < UNREPORTED_STREAM_S
-        ]
-        return self.running + len(self.stream_starts_s)
-
-
-@attrs.frozen
-class Candidate:
-    """A prefilling and a decoding engine, with the expected times.
-
-    ``cost_s`` is the prefill time; ``finish_s`` also includes the queue and
-    the hand-over.  The candidate with the lowest ``rank_s`` is chosen.
-    """
-
-    prefiller: registry.BackendServer
-    decode: registry.BackendServer
-    fetch_from: registry.BackendServer | None
-    tokens: int
-    cost_s: float
-    finish_s: float
-    rank_s: float
-    unknown_tokens: int = 0
+MIN_RETRY_AFTER_S = 0.2
+# A prompt waits for this multiple of its target latency after its target; it
+# may come back later, and those in time are not delayed by it.
+LATE_WAIT_TARGETS = 1.0
 
 
 @attrs.define
 class Scheduler:
     """The queues and cached documents of one service; a state machine.
 
-    ``kv_tokens`` is the KV cache size of one engine.  The servers that callers
-    pass in are those that may be used according to this VM's registry.
+    ``profile`` is the `catalog.EngineProfile` of the service.  The servers
+    that callers pass in are those that may be used according to this VM's
+    registry.
 
     A document that is unknown here may have been prefilled before this VM
     began to schedule.  A new document goes to the decode engine that
@@ -305,220 +59,278 @@
     not found.
     """
 
-    kv_tokens: int
+    profile: object
     engines: dict = attrs.field(factory=dict)
     jobs: dict = attrs.field(factory=dict)
+    handovers_s: dict = attrs.field(factory=dict)
     last_asked_s: float = float('-inf')
     miss_share: float = 1.0
-    busy_times_s: collections.deque = attrs.field(factory=collections.deque)
+    backlog: backlogs.Backlog = attrs.field(factory=backlogs.Backlog)
+    model: engine_models.PrefillModel = attrs.field(
+        factory=engine_models.PrefillModel
+    )
     outliers: outliers_module.OutlierDetector = attrs.field(
         factory=outliers_module.OutlierDetector
     )
 
     def engine(self, server):
-        """Return the `Engine` of a server's incarnation in any stage."""
+        """Return the `engines.Engine` of an incarnation in any stage."""
         found = self.engines.get(server.incarnation)
         if found is None:
-            cache = DocumentCache(CACHE_SHARE * self.kv_tokens)
-            found = self.engines[server.incarnation] = Engine(cache)
+            cache = engine_models.DocumentCache(
+                CACHE_SHARE * self.profile.kv_tokens
+            )
+            found = self.engines[server.incarnation] = engine_models.Engine(
+                cache, self.profile.slots
+            )
         return found
 
-    def place(self, ask, servers, now):
-        """Return an `Assignment`, `Busy` or `Hopeless`; None if no engine."""
+    def place(self, request, servers, now, reply=None):
+        """Return the answer to a request and those that became due by it.
+
+        The first is an `Assignment`, `Queued` or `Rejection`, or None if no
+        engine is known; ``reply(message)`` is called later for a request that
+        is queued.  The others are pairs of a `backlog.WaitingPrompt` and its
+        message.
+        """
         self.last_asked_s = now
+        if self.backlog.refresh(request, reply, now):
+            return messages.Queued(0.0), []
         self._expire_jobs(now)
-        servers = [
-            server
-            for server in self.outliers.select_healthy(servers, now)
-            if server.server_id not in ask.tried
-        ]
-        best = self._best_candidate(ask, servers, now)
+        options = self._make_choice(servers, now)
+        best = options.best(request, request.target_left_s)
         if best is None:
-            return None
-        finish_s = best.finish_s + FIRST_EVENT_DELAY_S
-        if finish_s <= ask.target_left_s:
-            return self._assign(ask, best, now)
-        if best.cost_s + FIRST_EVENT_DELAY_S > ask.left_s:
-            return Hopeless(best.cost_s)
-        is_queue_short = best.finish_s - best.cost_s <= MAX_LATE_QUEUE_S
-        if is_queue_short and finish_s <= ask.left_s:
-            return self._assign(ask, best, now)
-        return self._defer(now)
-
-    def _defer(self, now):
-        """Return a `Busy` whose wait grows with the waiting prompts.
-
-        This limits the rate of repeated requests to the scheduler.
-        """
-        while self.busy_times_s and now - self.busy_times_s[0] > BUSY_WINDOW_S:
-            self.busy_times_s.popleft()
-        self.busy_times_s.append(now)
-        return Busy(
-            RETRY_DELAY_S + RETRY_DELAY_EACH_S * len(self.busy_times_s)
+            return None, []
+        prompt = backlogs.WaitingPrompt(
+            request,
+            reply,
+            now + request.target_left_s,
+            now + min(request.left_s, self._longest_wait_s(request)),
+            best.shortest_s,
+            best.cost_s,
         )
+        expected_s = self._expected_wait_s(prompt, options, best, now)
+        if self._is_hopeless(prompt, expected_s, now):
+            return messages.Rejection(max(MIN_RETRY_AFTER_S, expected_s)), []
+        self.backlog.add(prompt)
+        others, answer = [], messages.Queued(max(0.0, expected_s))
+        for found, message in self._assign_waiting(options, now):
+            if found is prompt:
+                answer = message
+            else:
+                others.append((found, message))
+        return answer, others
 
-    def _best_candidate(self, ask, servers, now):
-        decode_engines = [s for s in servers if not s.is_prefill_only]
-        if not decode_engines:
-            return None
-        holders = [
-            server
-            for server in servers
-            if self.engine(server).cache.is_available(ask.document, now)
-        ]
-        affinity_server = max(
-            decode_engines,
-            key=lambda s: placement.rendezvous_weight(ask.document, s),
-        )
-        likely_holders = holders or [affinity_server]
-        target = min(
-            decode_engines,
-            key=lambda s: self._stream_cost_s(s, likely_holders, now),
-        )
-        sources = holders, affinity_server
-        candidates = [
-            self._make_candidate(ask, server, target, sources, now)
-            for server in servers
-            if server.is_prefill_only
-        ]
-        for server in decode_engines:
-            candidate = self._make_candidate(ask, server, server, sources, now)
-            if self._may_prefill_directly(ask, candidate):
-                candidates.append(candidate)
-        if not candidates:
-            candidates = [
-                self._make_candidate(ask, target, target, sources, now)
-            ]
-        return min(candidates, key=lambda candidate: candidate.rank_s)
-
-    def _stream_cost_s(self, server, likely_holders, now):
-        """Return the cost of a stream: load, lack of slots, copying."""
-        engine = self.engine(server)
-        streams = engine.count_streams(now)
-        cost_s = STREAM_COST_S * streams
-        if engine.slots:
-            cost_s += OVERLOAD_PENALTY_S * max(0, streams + 1 - engine.slots)
-        if server not in likely_holders:
-            cost_s += COPY_PENALTY_S
-        return cost_s
-
-    def _make_candidate(self, ask, prefiller, decode, sources, now):
-        holders, affinity_server = sources
-        engine = self.engine(prefiller)
-        tokens, unknown, fetch_from = ask.own_tokens, 0, None
-        is_cached = ask.document in engine.cache.entries
-        if not is_cached and holders:
-            fetch_from = _nearest(holders, prefiller)
-        elif not is_cached:
-            fetch_from = (
-                None if prefiller is affinity_server else affinity_server
+    @staticmethod
+    def _longest_wait_s(request):
+        """Return how long a request may wait until its first event."""
+        late_wait_s = LATE_WAIT_TARGETS * request.target_s
+        return max(0.0, request.target_left_s) + late_wait_s
+
+    def assign_waiting(self, servers, now):
+        """Return the waiting prompts that are due and their messages."""
+        if not self.backlog.prompts:
+            return []
+        self._expire_jobs(now)
+        return self._assign_waiting(self._make_choice(servers, now), now)
+
+    def _make_choice(self, servers, now):
+        usable = self.outliers.select_healthy(servers, now)
+        states = []
+        for server in usable:
+            engine = self.engine(server)
+            states.append(
+                choices.EngineState(
+                    server,
+                    engine,
+                    engine.queue_s(now),
+                    engine.count_streams(now),
+                    engine.slots,
+                    self.model.slowdown(server),
+                )
             )
-            unknown = ask.shared_tokens
-            tokens += int(self.miss_share * unknown)
-        cost_s = engine.slowdown * _nominal_s(prefiller, tokens)
-        finish_s = engine.queue_s(now) + cost_s
-        if prefiller is not decode:
-            finish_s += HANDOVER_S
-        rank_s = finish_s if is_cached else finish_s + COPY_PENALTY_S
-        return Candidate(
-            prefiller,
-            decode,
-            fetch_from,
-            tokens,
-            cost_s,
-            finish_s,
-            rank_s,
-            unknown,
-        )
+        return choices.Choice(states, self.model, self.miss_share, now)
 
-    def _may_prefill_directly(self, ask, candidate):
-        """Return whether a decode engine may prefill beside its streams.
+    def _expected_wait_s(self, prompt, options, best, now):
+        """Return the expected time until an engine is free for a prompt.
 
-        It must have no other prefill, and must not delay the streams' events
-        for too long.
+        The prompts that go before it are shared by all engines.
         """
-        limit_s = DIRECT_GAP_SHARE * ask.max_gap_s
+        before_s = self.backlog.work_before_s(prompt, now)
+        return best.queue_s + before_s / len(options.states)
+
+    def _is_hopeless(self, prompt, expected_s, now):
         return (
-            not self.engine(candidate.prefiller).jobs
-            and candidate.cost_s <= limit_s
+            len(self.backlog.prompts) >= MAX_WAITING
+            or now + expected_s + prompt.shortest_s > prompt.gives_up_at_s
         )
 
-    def _assign(self, ask, candidate, now):
-        engine, decode = (
-            self.engine(candidate.prefiller),
-            self.engine(candidate.decode),
-        )
-        self._remove_job(ask.request_id, False, now)
-        rate = placement.prefill_rate(candidate.prefiller)
-        job = Job(
-            candidate.prefiller.incarnation,
-            _nominal_s(candidate.prefiller, candidate.tokens),
+    def _assign_waiting(self, options, now):
+        """Assign prompts in order while an engine is free.
+
+        A prompt whose best engine is busy waits for it, which keeps others
+        from that engine but not from the rest.
+        """
+        answers = [
+            (prompt, messages.Rejection(self._retry_after_s(options)))
+            for prompt in self.backlog.take_lost(now)
+        ]
+        if not options.has_free_engine(LOOKAHEAD_S):
+            return answers
+        late = []
+        for prompt in self.backlog.ordered(now)[:MAX_CONSIDERED]:
+            best = self._best_candidate(prompt, options)
+            if best is None:
+                continue
+            if now + best.first_event_s > prompt.target_at_s:
+                late.append((prompt, best))
+                continue
+            if best.queue_s <= LOOKAHEAD_S:
+                answers.append((prompt, self._assign(prompt, best, now)))
+            options.reserve(best)
+            if not options.has_free_engine(LOOKAHEAD_S):
+                return answers
+        # What the prompts in time leave free.
+        for prompt, best in late:
+            is_free = best.prefiller.queue_s <= LOOKAHEAD_S
+            if is_free and not self._is_too_late(prompt, best, now):
+                answers.append((prompt, self._assign(prompt, best, now)))
+                options.reserve(best)
+        return answers
+
+    @staticmethod
+    def _best_candidate(prompt, options):
+        """Return the best candidate, and note its times with the prompt."""
+        target_left_s = prompt.target_at_s - options.now
+        best = options.best(prompt.request, target_left_s)
+        if best is not None:
+            prompt.shortest_s, prompt.cost_s = best.shortest_s, best.cost_s
+        return best
+
+    @staticmethod
+    def _is_too_late(prompt, candidate, now):
+        return now + candidate.first_event_s > prompt.gives_up_at_s
+
+    def _retry_after_s(self, options):
+        """Return when the prompts that wait now will have been assigned."""
+        queued_s = sum(state.queue_s for state in options.states)
+        waiting_s = self.backlog.work_s()
+        engine_count = max(1, len(options.states))
+        return max(MIN_RETRY_AFTER_S, (queued_s + waiting_s) / engine_count)
+
+    def _assign(self, prompt, candidate, now):
+        request = prompt.request
+        self.backlog.remove(request.request_id)
+        self.backlog.on_assigned()
+        self._remove_job(request.request_id, False, now)
+        engine, decode = candidate.prefiller.engine, candidate.decode.engine
+        job = engine_models.Job(
+            candidate.prefiller.server,
+            candidate.tokens,
+            candidate.cost_s,
             now,
-            candidate.unknown_tokens / rate,
+            candidate.unknown_tokens,
+            bool(engine.jobs),
         )
-        engine.add_job(ask.request_id, job, now)
-        self.jobs[ask.request_id] = job
-        done_s = now + candidate.finish_s
+        engine.add_job(request.request_id, job, now)
+        self.jobs[request.request_id] = job
+        done_s = now + candidate.queue_s + candidate.cost_s
         for holder in (engine, decode):
-            holder.cache.touch(ask.request_id, ask.own_tokens, done_s)
-            if ask.shared_tokens:
-                holder.cache.touch(ask.document, ask.shared_tokens, done_s)
+            holder.cache.touch(request.request_id, request.own_tokens, done_s)
+            if request.shared_tokens:
+                holder.cache.touch(
+                    request.document, request.shared_tokens, done_s
+                )
         decode.stream_starts_s.append(now)
-        is_direct = candidate.prefiller is candidate.decode
-        return Assignment(
-            decode=candidate.decode.server_id,
-            prefill='' if is_direct else candidate.prefiller.server_id,
-            fetch_from=candidate.fetch_from.server_id
-            if candidate.fetch_from
-            else '',
+        candidate.decode.streams += 1
+        fetch_from = candidate.fetch_from
+        return messages.Assignment(
+            decode=candidate.decode.server.server_id,
+            prefill=''
+            if candidate.is_direct
+            else candidate.prefiller.server.server_id,
+            fetch_from=fetch_from.server_id if fetch_from else '',
             tokens=candidate.tokens,
-            expected_s=candidate.finish_s,
+            expected_s=candidate.queue_s + candidate.cost_s,
+            cost_s=candidate.cost_s,
         )
 
-    def record_outcome(self, notice, servers, now):
-        """Update queues, failure records and loads from a `Notice`."""
-        is_prefilled = notice.seconds >= 0
-        incarnation = self._remove_job(notice.request_id, is_prefilled, now)
+    def record_outcome(self, outcome, servers, now):
+        """Update queues, failure records and loads from an `Outcome`."""
+        self.backlog.remove(outcome.request_id)
+        is_prefilled = outcome.seconds >= 0
+        job = self._remove_job(outcome.request_id, is_prefilled, now)
         for server in servers:
-            if server.server_id == notice.failed:
+            if server.server_id == outcome.failed:
                 self.outliers.on_failure(server, now)
-            elif is_prefilled and server.incarnation == incarnation:
+            elif is_prefilled and job is not None and server == job.server:
                 self.outliers.on_success(server)
-            if server.server_id == notice.decode and notice.slots:
-                self._update_load(self.engine(server), notice)
+            if server.server_id == outcome.decode:
+                self._record_first_event(server, job, outcome, now)
 
-    @staticmethod
-    def _update_load(engine, notice):
-        engine.running = notice.running + notice.waiting
-        engine.slots = notice.slots
-        engine.stream_starts_s = []
+    def record_pace(self, pace, servers):
+        """Update the pace of an engine from a `StreamPace`."""
+        for server in servers:
+            if server.server_id == pace.server:
+                self.engine(server).add_stream(pace.events, pace.seconds)
+
+    def _record_first_event(self, server, job, outcome, now):
+        if outcome.slots:
+            running = outcome.running + outcome.waiting
+            self.engine(server).update_load(running, outcome.slots)
+        found = self.handovers_s.pop(outcome.request_id, None)
+        if found is not None:
+            prefiller, prefilled_at_s = found
+            seconds = min(MAX_HANDOVER_S, now - prefilled_at_s)
+            for engine in (prefiller, self.engine(server)):
+                engine.add_handover(seconds)
 
     def _remove_job(self, request_id, is_prefilled, now):
-        """Remove a prompt; return the incarnation of its engine, or None."""
+        """Remove a prompt; return its `engines.Job`, or None."""
         job = self.jobs.pop(request_id, None)
         if job is None:
+            if not is_prefilled:
+                self.handovers_s.pop(request_id, None)
             return None
-        engine = self.engines.get(job.incarnation)
-        if engine is not None:
-            slowdown = engine.slowdown
-            busy_s = engine.remove_job(request_id, is_prefilled, now)
-            if busy_s is not None and job.nominal_document_s:
-                self._update_miss_share(job, busy_s / slowdown)
-        return job.incarnation
-
-    def _update_miss_share(self, job, nominal_s):
-        """Update the miss share from an unknown document's prefill time."""
-        own_s = job.nominal_s - self.miss_share * job.nominal_document_s
-        share = (nominal_s - own_s) / job.nominal_document_s
-        share = min(1.0, max(0.0, share))
+        engine = self.engines.get(job.server.incarnation)
+        if engine is None:
+            return job
+        busy_s = engine.remove_job(request_id, is_prefilled, now)
+        if busy_s is not None:
+            self._learn(job, busy_s)
+            if job.server.is_prefill_only:
+                self.handovers_s[request_id] = engine, now
+        return job
+
+    def _learn(self, job, busy_s):
+        """Update the model, and the miss share if it was a guess."""
+        if not job.unknown_tokens:
+            self.model.observe(job.server, job.tokens, busy_s, job.is_queued)
+            return
+        guessed = int(self.miss_share * job.unknown_tokens)
+        own_s = self.model.seconds(
+            job.server, job.tokens - guessed, job.is_queued
+        )
+        document_s = job.unknown_tokens * self.model.token_s(job.server)
+        share = min(1.0, max(0.0, (busy_s - own_s) / document_s))
         self.miss_share += MISS_SHARE_WEIGHT * (share - self.miss_share)
 
     def _expire_jobs(self, now):
         while self.jobs:
             request_id, job = next(iter(self.jobs.items()))
             if now - job.since_s < JOB_TIMEOUT_S:
-                return
+                break
             self._remove_job(request_id, False, now)
+        while self.handovers_s:
+            request_id, (_, since_s) = next(iter(self.handovers_s.items()))
+            if now - since_s < JOB_TIMEOUT_S:
+                break
+            del self.handovers_s[request_id]
+
+    def queue_s(self, server, now):
+        """Return a server's queue with its share of the waiting prompts."""
+        waiting_s = self.backlog.work_s() / max(1, len(self.engines))
+        return self.engine(server).queue_s(now) + waiting_s
 
     def forget(self, incarnations):
         """Drop the state of engines that are not in ``incarnations``."""
@@ -527,19 +339,5 @@
             for incarnation, engine in self.engines.items()
             if incarnation in incarnations
         }
+        self.model.forget(incarnations)
         self.outliers.forget(incarnations)
-
-
-def _nominal_s(server, tokens):
-    """Return the seconds that an average engine needs to prefill."""
-    return PROMPT_OVERHEAD_S + tokens / placement.prefill_rate(server)
-
-
-def _nearest(holders, prefiller):
-    """Return a holder, in the prefiller's failure domain if possible."""
-    near = [
-        holder
-        for holder in holders
-        if holder.failure_domain == prefiller.failure_domain
-    ]
-    return (near or holders)[0]
--- a/src/mangorock/stages.py
+++ b/src/mangorock/stages.py
@@ -14,7 +14,6 @@
 
 import attrs
 
-from mangorock import placement
 from mangorock import registry
 
 # Smoothing time of the queues, and how long a service is observed before its
@@ -89,7 +88,7 @@
         """Sample the queues and slots that ``scheduler`` knows of."""
         prefill_engines = [s for s in servers if s.is_prefill_only]
         decode_engines = [s for s in servers if not s.is_prefill_only]
-        queues = [scheduler.engine(s).queue_s(now) for s in prefill_engines]
+        queues = [scheduler.queue_s(s, now) for s in prefill_engines]
         known = [e for e in map(scheduler.engine, decode_engines) if e.slots]
         if not queues or not known:
             return
@@ -127,7 +126,11 @@
         ):
             payback_s, _, chosen = min(
                 (
-                    (_payback_s(scheduler, s), scheduler.engine(s).slowdown, s)
+                    (
+                        _payback_s(scheduler, s),
+                        scheduler.model.slowdown(s),
+                        s,
+                    )
                     for s in decode_engines
                 ),
                 key=lambda row: row[:2],
@@ -139,9 +142,7 @@
                 return None
             return Change(chosen, registry.Stage.PREFILL)
         if self._wants_decode(len(prefill_engines), now):
-            chosen = max(
-                prefill_engines, key=lambda s: scheduler.engine(s).slowdown
-            )
+            chosen = max(prefill_engines, key=scheduler.model.slowdown)
             return Change(chosen, registry.Stage.DECODE)
         return None
 
@@ -196,9 +197,9 @@
     The cost is its time away, and the prefill of its cached documents on other
     engines.
     """
-    engine = scheduler.engine(server)
-    rate = placement.PREFILL_TOKENS_PER_S / engine.slowdown
-    return STAGE_CHANGE_S + engine.cache.tokens / rate
+    prefill_engine = attrs.evolve(server, stage=registry.Stage.PREFILL)
+    token_s = scheduler.model.token_s(prefill_engine)
+    return STAGE_CHANGE_S + scheduler.engine(server).cache.tokens * token_s
 
 
 @attrs.define
--- a/src/mangorock/traffic.py
+++ b/src/mangorock/traffic.py
@@ -28,12 +28,22 @@
     """The prompt of a generation.
 
     ``parts`` are in order; other requests may share all but the last.
+    ``length_hint`` is the caller's estimate of the output tokens, often far
+    off, or None.
     """
 
     model: str
     tokens: int
     max_output_tokens: int
     parts: tuple = ()
+    length_hint: int | None = None
+
+    @property
+    def expected_output_tokens(self):
+        """Return the output tokens to expect."""
+        if self.length_hint is None:
+            return self.max_output_tokens
+        return min(self.length_hint, self.max_output_tokens)
 
     @property
     def shared_part_id(self):
--- a/tests/test_consultation.py
+++ b/tests/test_consultation.py
@@ -7,6 +7,7 @@
 
 from mangorock import consultation
 from mangorock import membership
+from mangorock import messages
 from mangorock import mirror
 from mangorock import scheduler
 from tests import ports
@@ -88,28 +89,32 @@
 
     def test_messages_survive_a_round_trip(self):
         for message in (
-            test_scheduler.make_ask('r1', tried=('a', 'b')),
-            scheduler.Assignment('d', 'p', '', 3700, 0.2),
-            scheduler.Busy(0.1),
-            scheduler.Hopeless(9.0),
-            scheduler.Away('s', 'd', 6.0),
-            scheduler.Wish('s', 'd', 'prefill'),
-            scheduler.Notice('s', 'r1', 0.2, 'p', 'd', 1, 2, 8),
+            test_scheduler.make_request('r1', tried=('a', 'b')),
+            messages.Assignment('d', 'p', '', 3700, 0.2, 0.1),
+            messages.Queued(0.1),
+            messages.Rejection(9.0),
+            messages.EnginePause('s', 'd', 6.0),
+            messages.StageRequest('s', 'd', 'prefill'),
+            messages.Outcome('s', 'r1', 0.2, 'p', 'd', 1, 2, 8),
         ):
             data = consultation.encode(7, message)
             self.assertEqual((7, message), consultation.decode(data))
 
     def test_malformed_datagrams_are_rejected(self):
-        whole = consultation.encode(1, test_scheduler.make_ask('r1'))
+        whole = consultation.encode(1, test_scheduler.make_request('r1'))
         for data in (
             b'',
             b'[]',
             b'7',
-            b'["Ask", 1, {}]',
+            b'["PlacementRequest", 1, {}]',
             b'["Peer", 1, {"vm": "x"}]',
             whole[:-4],
             whole.replace(b'3700', b'"x"'),
             whole.replace(b'[]', b'[4]'),
+            whole.replace(b'3700', b'-1'),
+            whole.replace(b'3700', b'1e300'),
+            whole.replace(b'3700', b'true'),
+            whole.replace(b',1,', b',[],'),
         ):
             with self.assertRaises(ValueError):
                 consultation.decode(data)
@@ -130,7 +135,7 @@
     def run_with_endpoints(self, body):
         async def main():
             engines = test_scheduler.make_engines()
-            found = {'s': scheduler.Scheduler(test_scheduler.KV_TOKENS)}
+            found = {'s': scheduler.Scheduler(test_scheduler.PROFILE)}
             address = '127.0.0.1', ports.free_port()
             first, second = membership.rank('s', ['vm0', 'vm1'])
             peers = [consultation.Peer(first, 'r', address)]
@@ -158,10 +163,10 @@
 
     def test_scheduler_replies_and_records_the_outcome(self):
         async def body(answering, requesting, found):
-            ask = test_scheduler.make_ask('r1')
-            answer = await requesting.ask(ask)
-            self.assertIsInstance(answer, scheduler.Assignment)
-            requesting.report_outcome(test_scheduler.make_notice(ask, 0.2))
+            ask = test_scheduler.make_request('r1')
+            answer = await requesting.ask(lambda: ask)
+            self.assertIsInstance(answer, messages.Assignment)
+            requesting.report_outcome(test_scheduler.make_outcome(ask, 0.2))
             async with curio.timeout_after(1.0):
                 while found.jobs:
                     await curio.sleep(0.005)
@@ -172,11 +177,11 @@
         async def body(answering, requesting, found):
             await answering.close()
             self.assertIsNone(
-                await requesting.ask(test_scheduler.make_ask('r1'))
+                await requesting.ask(lambda: test_scheduler.make_request('r1'))
             )
             self.assertTrue(requesting.directory.timeouts)
             self.assertIsNone(
-                await requesting.ask(test_scheduler.make_ask('r2'))
+                await requesting.ask(lambda: test_scheduler.make_request('r2'))
             )
 
         self.run_with_endpoints(body)
@@ -186,8 +191,10 @@
             peers = requesting.directory.peers.values()
             for peer in peers:
                 requesting.raw_socket.sendto(b'\xff\x00', peer.address)
-            answer = await requesting.ask(test_scheduler.make_ask('r1'))
-            self.assertIsInstance(answer, scheduler.Assignment)
+            answer = await requesting.ask(
+                lambda: test_scheduler.make_request('r1')
+            )
+            self.assertIsInstance(answer, messages.Assignment)
 
         self.run_with_endpoints(body)
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -210,7 +210,7 @@
     if shared:
         parts = (traffic.PromptPart(key, shared), *parts)
     prompt = traffic.Prompt('m', shared + own, 40, parts)
-    return placement.Demand(prompt, own, 0.3)
+    return placement.Demand(prompt, 0.3, 0.6, 64)
 
 
 DECODE_ENGINES = [
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -9,6 +9,7 @@
 import curio
 import orjson
 
+from mangorock import engines
 from mangorock import errors
 from mangorock import mirror
 from mangorock import presence
@@ -25,7 +26,7 @@
 
     def __init__(self, prefills=3, decodes=12, slots=10):
         self.engines = test_scheduler.make_engines(prefills, decodes)
-        self.scheduler = scheduler.Scheduler(test_scheduler.KV_TOKENS)
+        self.scheduler = scheduler.Scheduler(test_scheduler.PROFILE)
         self.planner = stages.StagePlanner()
         for server in self.engines:
             self.scheduler.engine(server).slots = slots
@@ -36,7 +37,7 @@
             engine = self.scheduler.engine(server)
             engine.jobs.clear()
             if server.is_prefill_only and queue_s:
-                job = scheduler.Job(server.incarnation, queue_s, now)
+                job = engines.Job(server, 0, queue_s, now)
                 engine.add_job('r', job, now)
             engine.running = streams
 
@@ -62,7 +63,7 @@
     def test_long_prompts_and_free_slots_add_a_prefill_engine(self):
         service = SimulatedService()
         fast = service.engines[5]
-        service.scheduler.engine(fast).busy_s *= 0.7
+        service.scheduler.model.observe(fast, 8000, 0.05)
         changes = service.run(6, queue_s=0.3, streams=2)
         self.assertEqual(
             stages.Change(fast, registry.Stage.PREFILL), changes[0]
