Survive malformed messages, bytes without end, and streams that stall

Cause, found by looking for what operators of similar systems met: an answer of the store without a field, or a configuration with a field of another type, ended the task that follows it, for good; a stalled stream that sent a byte now and then was kept until its deadline, since the limit was on the time between bytes; interim responses and an event without end were read for ever; an entry with slots of 0 or 10^12 was used; a caller's count in other digits or of 5,000 digits gave an internal error; a connection whose next request had arrived, but was not read, counted as idle when a stopping VM closed those. Ruled out by tests that passed before: a body, a chunk extension, trailers or a head without end (the parser or the end of the connection cut them there); a slow but sound stream is not cut. The race of the stop has no test that fails first: its window is shorter than a test can hit.

--- a/src/mangorock/client.py
+++ b/src/mangorock/client.py
@@ -16,6 +16,11 @@
 from mangorock import logs
 
 READ_BYTES = 65536
+# Longest answer that is read whole.  A server in trouble may send bytes
+# without end.
+MAX_ANSWER_BYTES = 16 << 20
+# Interim responses before the final one, for the same reason.
+MAX_INTERIM_RESPONSES = 16
 # Shorter than the idle timeout of servers, so that a reused connection has
 # rarely just been closed by the server.
 MAX_IDLE_S = 30.0
@@ -32,6 +37,10 @@
 TCP_KEEP_ALIVE_PROBES = 2
 
 
+class AnswerTooLongError(OSError):
+    """A server sent more than an answer may have."""
+
+
 class Exchange:
     """One request to a server and its response.
 
@@ -84,7 +93,9 @@
 
     async def _read_head(self):
         event = await self._next_event()
-        while isinstance(event, h11.InformationalResponse):
+        for _ in range(MAX_INTERIM_RESPONSES):
+            if not isinstance(event, h11.InformationalResponse):
+                break
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ConnectionResetError('connection closed before the response')
@@ -154,10 +165,18 @@
             return
 
     async def read(self):
-        """Return the whole body."""
-        parts = []
+        """Return the whole body.
+
+        Raises `AnswerTooLongError` beyond `MAX_ANSWER_BYTES`.
+        """
+        parts, size = [], 0
         while not self.is_body_complete:
             parts.append(await self.read_some())
+            size += len(parts[-1])
+            if size > MAX_ANSWER_BYTES:
+                raise AnswerTooLongError(
+                    f'{self.address} sent more than {MAX_ANSWER_BYTES} bytes'
+                )
         return b''.join(parts)
 
     @property
--- a/src/mangorock/events.py
+++ b/src/mangorock/events.py
@@ -20,8 +20,13 @@
 _ID = re.compile(rb'(?:^|\n)id: ?(\d+)\r?(?:\n|$)')
 
 
+# A longer event is not valid; without a limit, a server that never ends one
+# would fill the memory.
+MAX_EVENT_BYTES = 1 << 20
+
+
 class EventOrderError(Exception):
-    """The ids of the events are not consecutive."""
+    """The ids of the events are not consecutive, or an event has no end."""
 
 
 @attrs.define
@@ -42,6 +47,10 @@
         """
         data = self.partial_event + data
         end_offset = 0
+        if len(data) > MAX_EVENT_BYTES and _END.search(data) is None:
+            raise EventOrderError(
+                f'an event is longer than {MAX_EVENT_BYTES} bytes'
+            )
         for separator in _END.finditer(data):
             self._check_id(data[end_offset : separator.start()])
             end_offset = separator.end()
--- a/src/mangorock/ingress.py
+++ b/src/mangorock/ingress.py
@@ -127,7 +127,7 @@
             h11.SERVER,
             max_incomplete_event_size=self.get_limits().max_head_bytes,
         )
-        self.connections[task] = conn
+        self.connections[task] = sock, conn
         try:
             async with sock:
                 while await self._serve_request(task, sock, conn):
@@ -206,9 +206,16 @@
             conn.receive_data(await sock.recv(client.READ_BYTES))
 
     async def close_idle_connections(self):
-        """Close the connections on which no request is being served."""
-        for task, conn in list(self.connections.items()):
-            if conn.our_state is h11.IDLE:
+        """Close the connections on which no request is being served.
+
+        One that has received bytes is not idle: a request may be in them.
+        """
+        for task, (sock, conn) in list(self.connections.items()):
+            if (
+                conn.our_state is h11.IDLE
+                and not conn.trailing_data[0]
+                and client.is_connection_idle(sock)
+            ):
                 await task.cancel(blocking=False)
 
 
--- a/src/mangorock/mirror.py
+++ b/src/mangorock/mirror.py
@@ -188,6 +188,12 @@
                     error=exc.message,
                 )
             await curio.sleep(mirror.on_failure(rng.random()))
+        except Exception as exc:
+            # Whatever one item or answer holds, the others are followed.
+            logs.exception(
+                'store_not_followed', prefix=mirror.prefix, error=repr(exc)
+            )
+            await curio.sleep(mirror.on_failure(rng.random()))
 
 
 async def _step(mirror, store, on_listing, on_events, wait_s):
--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -153,16 +153,23 @@
         return Streamed(answer)
 
     async def _relay(self, exchange, answer, relay, limits):
-        limit_s = limits.first_event_s
+        """Relay the stream to its end, and check that it goes on.
+
+        The limit is on the time between whole events, since a stalled server
+        may send a byte now and then.
+        """
+        limit_s, waits_since_s = limits.first_event_s, time.monotonic()
         while True:
-            async with time_limit(limit_s):
+            waited_s = time.monotonic() - waits_since_s
+            left_s = None if limit_s is None else max(0.0, limit_s - waited_s)
+            async with time_limit(left_s):
                 data = await exchange.read_some()
             if not data:
                 break
             whole = relay.splitter.feed(data)
             if whole:
-                limit_s = limits.gap_s
                 await relay.feed(answer, whole)
+                limit_s, waits_since_s = limits.gap_s, time.monotonic()
         if not relay.splitter.is_between_events:
             raise InvalidAnswer('the stream ended inside an event')
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -109,6 +109,7 @@
         self.revision = 1
         self.compacted_revision = 0
         self.status = 200
+        self.answer = None
         self.requested_paths = []
         self.last_lease = 0
         self.tasks = []
@@ -157,6 +158,8 @@
         self.requested_paths.append(path)
         if self.status != 200:
             return await responder.respond(self.status, b'')
+        if self.answer is not None:
+            return await responder.respond(200, self.answer)
         if path == '/-/kv-range':
             prefix = query['prefix']
             items = [
@@ -190,6 +193,8 @@
         while True:
             if after < self.compacted_revision:
                 return await responder.respond(410, b'')
+            if self.answer is not None:
+                return await responder.respond(200, self.answer)
             matches = [
                 event
                 for event in self.events
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -404,6 +404,216 @@
         self.assertEqual(1, len(worker.received))
 
 
+class ServersInTrouble(unittest.TestCase):
+    """Bytes that are no answer, without end or in pieces."""
+
+    @run
+    async def test_stalled_stream_that_sends_bytes_is_resumed(self):
+        # The limit was on the time between bytes, so that a byte now and
+        # then kept a stalled stream until its deadline.
+        def trickle(request):
+            if 'last-event-id' in request.headers:
+                return workers.stream_response(request)
+            head = workers.response_head(
+                request, b'Transfer-Encoding: chunked'
+            )
+            parts = [head + workers.event_chunks(1, 2)]
+            for _ in range(40):
+                parts += [0.05, b'1\r\n:\r\n']
+            return parts
+
+        config = fleet.make_config(2)
+        config['routes'][2]['timeoutMs'] = 6000
+        servers = [
+            workers.Worker('d1', 'llm', trickle, stage='decode'),
+            workers.Worker('d2', 'llm', trickle, stage='decode'),
+        ]
+        async with fleet.Fleet(*servers, config=config) as cluster:
+            started_s = await curio.clock()
+            _, body = await cluster.request(
+                'POST',
+                '/read/',
+                ('x-deadline-ms', '6000'),
+                *fleet.prompt_headers(),
+                body=b'q',
+            )
+            passed_s = await curio.clock() - started_s
+        self.assertEqual(4, body.count(b'data: '))
+        # Before its caller gives up after two seconds without an event.
+        self.assertLess(passed_s, 2.0)
+
+    @run
+    async def test_slow_but_sound_stream_is_not_cut(self):
+        def answer_slowly(request):
+            head = workers.response_head(
+                request, b'Transfer-Encoding: chunked'
+            )
+            parts = [head]
+            for number in range(1, 5):
+                parts += [0.7, workers.event_chunks(number, number)]
+            return [*parts, b'0\r\n\r\n']
+
+        config = fleet.make_config(2)
+        config['routes'][2]['timeoutMs'] = 6000
+        worker = workers.Worker('d1', 'llm', answer_slowly, stage='decode')
+        async with fleet.Fleet(worker, config=config) as cluster:
+            _, body = await cluster.request(
+                'POST',
+                '/read/',
+                ('x-deadline-ms', '6000'),
+                *fleet.prompt_headers(),
+                body=b'q',
+            )
+        self.assertEqual(4, body.count(b'data: '))
+        self.assertEqual(1, len(worker.received))
+
+    async def check_endless(self, parts):
+        """Check that a server's bytes end with a truthful error."""
+
+        def answer(request):
+            return [workers.response_head(request, *parts[0]), *parts[1:]]
+
+        worker = workers.Worker('w1', 'desk', answer, workers.whole_response)
+        async with fleet.Fleet(worker) as cluster:
+            exchange, body = await cluster.request(
+                'POST', '/place/', body=b'o'
+            )
+            after, _ = await cluster.request('POST', '/place/', body=b'o')
+        self.assertIn(exchange.status, (502, 504))
+        self.assertEqual('unknown', orjson.loads(body)['error']['run'])
+        self.assertEqual(200, after.status)
+
+    @run
+    async def test_body_without_end_is_cut(self):
+        await self.check_endless([[], *[b'x' * 65536] * 400])
+
+    @run
+    async def test_chunk_extension_without_end_is_cut(self):
+        chunked = [b'Transfer-Encoding: chunked']
+        await self.check_endless([chunked, b'5;', *[b'x' * 65536] * 400])
+
+    @run
+    async def test_trailers_without_end_are_cut(self):
+        chunked = [b'Transfer-Encoding: chunked']
+        trailers = [b'a: b\r\n' * 9000] * 400
+        await self.check_endless([chunked, b'0\r\n', *trailers])
+
+    @run
+    async def test_head_without_end_is_cut(self):
+        def answer(request):
+            return [b'HTTP/1.1 200 X\r\n', *[b'a: ' + b'x' * 65536] * 400]
+
+        worker = workers.Worker('w1', 'desk', answer)
+        async with fleet.Fleet(worker) as cluster:
+            exchange, _ = await cluster.request('POST', '/place/', body=b'o')
+        self.assertEqual(502, exchange.status)
+
+    @run
+    async def test_interim_responses_without_end_are_cut(self):
+        def answer(request):
+            return [b'HTTP/1.1 103 X\r\n\r\n' * 1000] * 400
+
+        worker = workers.Worker('w1', 'desk', answer)
+        async with fleet.Fleet(worker) as cluster:
+            exchange, _ = await cluster.request('POST', '/place/', body=b'o')
+        self.assertEqual(502, exchange.status)
+
+    @run
+    async def test_event_without_end_is_cut(self):
+        def answer(request):
+            head = workers.response_head(
+                request, b'Transfer-Encoding: chunked'
+            )
+            return [head, *[b'10000\r\n' + b'x' * 65536 + b'\r\n'] * 400]
+
+        worker = workers.Worker('d1', 'llm', answer, stage='decode')
+        async with fleet.Fleet(worker) as cluster:
+            exchange, _ = await cluster.request(
+                'POST', '/ask/', *fleet.prompt_headers(), body=b'q'
+            )
+        self.assertEqual(502, exchange.status)
+
+
+class MalformedMessages(unittest.TestCase):
+    """One message of an unexpected form stops nothing else."""
+
+    @run
+    async def test_malformed_answers_of_the_store_are_survived(self):
+        # A missing field ended the task that follows the configuration.
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        for answer in (
+            b'[]',
+            b'{}',
+            b'{"events":[{}],"storeRevision":9}',
+            b'{"events":5}',
+            b'null',
+            b'{"storeRevision":"x"}',
+        ):
+            async with fleet.Fleet(worker) as cluster:
+                cluster.store.answer = answer
+                cluster.store.put('op/other', {})
+                await curio.sleep(0.3)
+                cluster.store.answer = None
+                cluster.store.put('op/config', fleet.make_config(9))
+                await fleet.wait_until(
+                    lambda: cluster.front.gateway.catalog.version == 9, 3.0
+                )
+
+    @run
+    async def test_configuration_of_any_form_is_survived(self):
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        async with fleet.Fleet(worker) as cluster:
+            for value in (
+                {'limits': 'x'},
+                {'routes': [3]},
+                {'version': []},
+                {'services': [{'name': 'llm', 'engine': {'slots': 0}}]},
+            ):
+                bad = {**fleet.make_config(7), **value}
+                cluster.store.put('op/config', bad)
+                await curio.sleep(0.05)
+            cluster.store.put('op/config', fleet.make_config(9))
+            await fleet.wait_until(
+                lambda: cluster.front.gateway.catalog.version == 9, 3.0
+            )
+
+    @run
+    async def test_entries_with_senseless_figures_are_skipped(self):
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        async with fleet.Fleet(worker) as cluster:
+            for number, slots in enumerate((0, -3, '8', 10**12, None, 1.5)):
+                entry = {**worker.entry(), 'slots': slots}
+                cluster.store.put(f'servers/bad{number}', entry)
+            await cluster.wait_for_updates()
+            known = cluster.front.gateway.registry.servers
+            exchange, _ = await cluster.request('GET', '/look/')
+        self.assertEqual(['w1'], list(known))
+        self.assertEqual(200, exchange.status)
+
+    @run
+    async def test_senseless_counts_of_a_prompt_are_ignored(self):
+        worker = workers.Worker(
+            'd1', 'llm', workers.stream_response, stage='decode'
+        )
+        async with fleet.Fleet(worker) as cluster:
+            for counts, parts, status in (
+                ('300,40', b'aa:\xb2', 200),
+                ('9' * 5000 + ',1', 'aa:55', 200),
+                ('300,40', 'aa:' + '9' * 5000, 200),
+                # It fits into no engine.
+                ('999999999999999,40', 'aa:55,bb:1', 503),
+            ):
+                exchange, _ = await cluster.request(
+                    'POST',
+                    '/ask/',
+                    ('x-model-name', 'm'),
+                    ('x-token-counts', counts),
+                    ('x-prompt-prefix', parts),
+                    body=b'q',
+                )
+                self.assertEqual(status, exchange.status, counts[:20])
+
+
 class Changes(unittest.TestCase):
     """Changes of the configuration and the servers, faults of the store."""
 
@@ -502,6 +712,26 @@
         self.assertEqual((200, b'done'), (exchange.status, body))
         self.assertEqual('close', exchange.headers['connection'])
 
+    @run
+    async def test_request_that_was_just_received_is_answered(self):
+        # Its bytes had arrived, but were not read, when idle connections
+        # were closed.
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        async with fleet.Fleet(worker) as cluster:
+            first = await cluster.open()
+            await first.send('GET', '/look/', cluster.request_headers(), b'')
+            await first.read()
+            head = (
+                b'GET /look/ HTTP/1.1\r\nHost: desk.example\r\n'
+                b'X-Request-Id: r9\r\nX-Deadline-Ms: 900\r\n\r\n'
+            )
+            cluster.front.ingress.is_stopping = True
+            first.sock._socket.send(head)
+            await cluster.front.ingress.close_idle_connections()
+            answer = await first.sock.recv(65536)
+            await cluster.client.discard(first)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer)
+
     @run
     async def test_request_beyond_the_grace_period_is_refused_as_not_run(self):
         # While most VMs of a failure domain stop, the load balancer sends new
--- a/tests/workers.py
+++ b/tests/workers.py
@@ -177,7 +177,7 @@
                     body += event.data
                 case h11.EndOfMessage():
                     headers = {
-                        name.decode(): value.decode()
+                        name.decode(): value.decode('latin-1')
                         for name, value in head.headers
                     }
                     return ReceivedRequest(
