Price a copy of a document by its size, and place short prompts at each VM

An engine that is slow by itself counted as crowded and was left idle. Change: the penalty of a copy is a fifth of the document's prefill time; a prefill beside streams costs 0.3 s a second and stream; routes whose prompts take a decode engine less than a fifth of the longest gap, by the learnt model, are placed by each VM; crowded is relative to an engine's best pace; a stream beyond the slots costs 50 ms, so that it outweighs a copy.

--- a/src/mangorock/choice.py
+++ b/src/mangorock/choice.py
@@ -21,21 +21,23 @@
 from mangorock import placement
 from mangorock import registry
 
-# An engine without the document must be this much faster to be chosen, in
-# seconds, since the copy evicts other documents from its cache.
-COPY_PENALTY_S = 0.02
+# A copy of a document evicts others from an engine's cache; this share of them
+# will have to be prefilled again.
+EVICTED_SHARE = 0.2
 # A hand-over must be this much faster to be chosen, in seconds.
 HANDOVER_PENALTY_S = 0.03
 # Cost of each stream beyond an engine's slots, and of each running stream, in
 # seconds.
-OVERLOAD_PENALTY_S = 0.02
+OVERLOAD_PENALTY_S = 0.05
 STREAM_COST_S = 0.001
 # Cost of delaying a stream by a prefill, for each second of it.
-DISTURBANCE_COST = 0.1
+DISTURBANCE_COST = 0.3
 # A decode engine is crowded while the mean gap between events of its streams
-# exceeds this share of the longest allowed one.  A prefill there would slow
-# all of them down until none ends in time; its cost in seconds.
+# exceeds this share of the longest allowed one, and this multiple of the one
+# that it has with little to do.  A prefill there would slow all of them down
+# until none ends in time; its cost in seconds.
 CROWDED_GAP_SHARE = 0.4
+CROWDED_SLOWDOWN = 2.0
 CROWDED_PENALTY_S = 0.5
 # Engines of each stage that are compared for one prompt, those first that are
 # expected to finish a prompt of ordinary length first.  It bounds the cost of
@@ -204,9 +206,14 @@
         if state.queue_s > 0:
             cost_s += PREFILLING_COST_S
         if not sources.has(state.server):
-            cost_s += COPY_PENALTY_S
+            cost_s += self._copy_cost_s(request, state.server)
         return cost_s + self._pace_cost_s(request, state.engine.gap_s)
 
+    def _copy_cost_s(self, request, server):
+        """Return the cost of one more copy of the document."""
+        tokens = EVICTED_SHARE * request.shared_tokens
+        return tokens * self.model.token_s(server)
+
     @staticmethod
     def _pace_cost_s(request, gap_s):
         """Return the cost of a stream whose events come ``gap_s`` apart."""
@@ -240,7 +247,7 @@
         first_event_s = prefiller.queue_s + cost_s
         rank_s = self._stream_cost_s(request, decode, sources)
         if not is_cached:
-            rank_s += COPY_PENALTY_S
+            rank_s += self._copy_cost_s(request, server)
         if prefiller is not decode:
             # The slower of the two links decides.
             first_event_s += max(
@@ -264,8 +271,12 @@
     @staticmethod
     def is_calm(state, request):
         """Return whether an engine has no streams or no long pauses."""
-        limit_s = CROWDED_GAP_SHARE * request.max_gap_s
-        return not state.streams or state.engine.gap_s <= limit_s
+        engine = state.engine
+        limit_s = max(
+            CROWDED_GAP_SHARE * request.max_gap_s,
+            CROWDED_SLOWDOWN * engine.best_gap_s,
+        )
+        return not state.streams or engine.gap_s <= limit_s
 
     def _disturbance_s(self, request, state, cost_s):
         """Return the cost of a prefill for the streams beside it."""
--- a/src/mangorock/engines.py
+++ b/src/mangorock/engines.py
@@ -33,6 +33,10 @@
 # and the weight that remains of the older ones with each new event.
 START_GAP_S = 0.04
 GAP_DECAY = 0.985
+# Events whose pace counts for the best pace of an engine, and the factor by
+# which the best one grows with each stream, so that an old one is forgotten.
+MIN_PACE_EVENTS = 3
+BEST_GAP_GROWTH = 1.002
 # Start value of the learnt time from the end of a prefill on one engine to the
 # first event of another, in seconds, and the weight of the newest sample.
 START_HANDOVER_S = 0.06
@@ -159,6 +163,10 @@
         """Return the seconds for each further token on a server."""
         return self.slowdown(server) * self._fit(server, True).token_s
 
+    def mean_token_s(self, service):
+        """Return the seconds for a token on an average decode engine."""
+        return self._stage_fit(service, False, True).token_s
+
     def observe(self, server, tokens, seconds, is_queued=False):
         """Record that a server prefilled ``tokens`` within ``seconds``."""
         fit, slowdown = self._fit(server, is_queued), self.slowdown(server)
@@ -173,11 +181,16 @@
         return speed.slowdown if speed is not None else 1.0
 
     def _fit(self, server, is_queued):
-        key = server.service, server.is_prefill_only, is_queued
+        return self._stage_fit(
+            server.service, server.is_prefill_only, is_queued
+        )
+
+    def _stage_fit(self, service, is_prefill_only, is_queued):
+        key = service, is_prefill_only, is_queued
         found = self.fits.get(key)
         if found is None:
             rate = START_DECODE_TOKENS_PER_S
-            if server.is_prefill_only:
+            if is_prefill_only:
                 rate = START_PREFILL_TOKENS_PER_S
             found = self.fits[key] = PrefillFit(START_OVERHEAD_S, 1 / rate)
         return found
@@ -255,6 +268,7 @@
     jobs: dict = attrs.field(factory=dict)
     job_started_s: float = 0.0
     gap_s: float = START_GAP_S
+    best_gap_s: float = float('inf')
     handover_s: float = START_HANDOVER_S
     stream_starts_s: list = attrs.field(factory=list)
 
@@ -301,6 +315,10 @@
         if gaps > 0:
             kept = GAP_DECAY**gaps
             self.gap_s = kept * self.gap_s + (1 - kept) * seconds / gaps
+        if events >= MIN_PACE_EVENTS:
+            self.best_gap_s = min(
+                BEST_GAP_GROWTH * self.best_gap_s, seconds / gaps
+            )
 
     def update_load(self, running, slots):
         """Record the load that the engine reported."""
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -186,11 +186,16 @@
     async def _choose_placement(self):
         """Return a `placement.Placement`.
 
-        Prompts are placed by the shared scheduler if it answers, else by
-        this VM.
+        Prompts of routes with long ones are placed by the shared scheduler
+        if it answers, all others by this VM.
         """
-        is_generation = self.service.engine is not None
-        if is_generation and self.context.request.prompt is not None:
+        context, prompt = self.context, self.context.request.prompt
+        is_generation = self.service.engine is not None and prompt is not None
+        if is_generation and self.gateway.placer.is_long(
+            context.route,
+            context.service,
+            max(0, prompt.tokens - prompt.shared_tokens),
+        ):
             placed = await self._ask_scheduler()
             if placed is not None:
                 return placed
--- a/src/mangorock/placement.py
+++ b/src/mangorock/placement.py
@@ -52,6 +52,10 @@
 # prompts itself, and none that take longer than `DIRECT_GAP_SHARE`.
 MAX_GAP_SHARE = 0.7
 LONG_PROMPT_MAX_GAP_SHARE = 0.1
+# Prompts of a route are long if the prefill of one takes a decode engine more
+# than this share of the longest allowed gap.  Short ones are placed by each VM
+# itself: there are many, and they hardly add to an engine's queue.
+LONG_GAP_SHARE = 0.2
 PROMPT_TOKENS_WEIGHT = 0.1  # Weight of the newest prompt in the average.
 # How long the load reported by a plain server is used.
 REPORT_VALID_S = 1.0
@@ -143,6 +147,7 @@
     vm_count: int = 8
     loads: dict = attrs.field(factory=dict)
     model: engines.PrefillModel = attrs.field(factory=engines.PrefillModel)
+    route_tokens: dict = attrs.field(factory=dict)
 
     def load(self, server):
         """Return the `ServerLoad` of a server's current incarnation."""
@@ -348,7 +353,7 @@
             tokens - load.prompt_tokens
         )
         if cost_s is not None:
-            self.model.observe(server, tokens, cost_s)
+            self.model.observe(server, tokens, cost_s, is_queued=True)
             return
         other_tokens = (
             max(0, load.backlog_tokens - tokens)
@@ -357,6 +362,18 @@
         )
         self.model.observe(server, other_tokens + tokens, seconds)
 
+    def is_long(self, route, service, own_tokens):
+        """Return whether the prompts of a route delay streams noticeably.
+
+        That is decided by the mean of the route's prompts, so that all of
+        them are placed in one way.
+        """
+        mean = self.route_tokens.get(route.name, own_tokens)
+        mean += PROMPT_TOKENS_WEIGHT * (own_tokens - mean)
+        self.route_tokens[route.name] = mean
+        gap_s = route.max_gap_s or route.target_s
+        return mean * self.model.mean_token_s(service) > LONG_GAP_SHARE * gap_s
+
     def add_backlog(self, server, tokens):
         """Add ``tokens`` to a server's prefill backlog, or subtract them."""
         self.load(server).backlog_tokens += tokens
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -41,8 +41,9 @@
         found = choice.Choice(states, self.model, 1.0, 0.0)
         return found.best(request, request.target_left_s)
 
-    def set_gap(self, name, gap_s):
+    def set_gap(self, name, gap_s, best_gap_s=0.02):
         self.engines[name].gap_s = gap_s
+        self.engines[name].best_gap_s = best_gap_s
 
     def test_long_stream_goes_to_the_faster_engine(self):
         # A stream of 80 events at 0.1 s each did not end within the eight
@@ -70,6 +71,14 @@
         best = self.best(own_tokens=300, max_gap_s=0.2)
         self.assertEqual('prefill0', best.prefiller.server.server_id)
 
+    def test_engine_that_is_slow_by_itself_is_not_crowded(self):
+        # Slow engines had such gaps with little to do, and were left idle.
+        for name in ('decode1', 'decode2'):
+            self.set_gap(name, 0.1, 0.07)
+            self.streams[name] = 5
+        self.queues_s['prefill0'] = 0.3
+        self.assertTrue(self.best(own_tokens=300, max_gap_s=0.2).is_direct)
+
     def test_calm_engine_prefills_a_short_prompt(self):
         for name in ('decode1', 'decode2'):
             self.streams[name] = 5
