--- a/tests/test_consultation.py
+++ b/tests/test_consultation.py
@@ -1,6 +1,7 @@
 """Tests the choice of the scheduler and its messages over loopback."""
 
 import unittest
+from unittest import mock
 
 import attrs
 import curio
@@ -186,6 +187,93 @@
 
         self.run_with_endpoints(body)
 
+    def test_message_of_another_build_is_dropped(self):
+        # In a fleet halfway through a rollout, VMs of the build before ask
+        # with `Ask`; the scheduler goes on serving those of its own build.
+        async def body(answering, requesting, found):
+            old = b'["Ask",3,{"service":"s","request_id":"r0","tried":[]}]'
+            for peer in requesting.directory.peers.values():
+                requesting.raw_socket.sendto(old, peer.address)
+            answer = await requesting.ask(
+                lambda: test_scheduler.make_request('r1')
+            )
+            self.assertIsInstance(answer, messages.Assignment)
+
+        self.run_with_endpoints(body)
+
+    def test_scheduler_of_another_build_is_taken_as_silent(self):
+        async def body(answering, requesting, found):
+            known = dict(consultation.MESSAGES)
+            del known['PlacementRequest']
+            # Only the answering side decodes requests.
+            with mock.patch.object(consultation, 'MESSAGES', known):
+                answer = await requesting.ask(
+                    lambda: test_scheduler.make_request('r1')
+                )
+            self.assertIsNone(answer)
+
+        self.run_with_endpoints(body)
+
+    def test_error_while_handling_a_message_ends_nothing(self):
+        async def body(answering, requesting, found):
+            backlog, found.backlog = found.backlog, None
+            self.assertIsNone(
+                await requesting.ask(lambda: test_scheduler.make_request('r1'))
+            )
+            found.backlog = backlog
+            answer = await requesting.ask(
+                lambda: test_scheduler.make_request('r2')
+            )
+            self.assertIsInstance(answer, messages.Assignment)
+
+        self.run_with_endpoints(body)
+
+    def test_queued_prompt_is_assigned_when_an_engine_frees(self):
+        async def body(answering, requesting, found):
+            for number in range(6):
+                await requesting.ask(
+                    lambda: test_scheduler.make_request('r%d' % number)
+                )
+            waiting = await curio.spawn(
+                requesting.ask,
+                lambda: test_scheduler.make_request(
+                    'late', target_left_s=9.0, left_s=9.0
+                ),
+            )
+            await curio.sleep(0.1)
+            self.assertIn('late', found.backlog.prompts)
+            for number in range(6):
+                request = test_scheduler.make_request('r%d' % number)
+                requesting.report_outcome(
+                    test_scheduler.make_outcome(request, 0.1)
+                )
+            async with curio.timeout_after(1.0):
+                answer = await waiting.join()
+            self.assertIsInstance(answer, messages.Assignment)
+
+        self.run_with_endpoints(body)
+
+    def test_prompt_whose_caller_left_does_not_wait(self):
+        async def body(answering, requesting, found):
+            for number in range(6):
+                await requesting.ask(
+                    lambda: test_scheduler.make_request('r%d' % number)
+                )
+            waiting = await curio.spawn(
+                requesting.ask,
+                lambda: test_scheduler.make_request(
+                    'left', target_left_s=9.0, left_s=9.0
+                ),
+            )
+            await curio.sleep(0.1)
+            self.assertIn('left', found.backlog.prompts)
+            await waiting.cancel()
+            async with curio.timeout_after(1.0):
+                while found.backlog.prompts:
+                    await curio.sleep(0.005)
+
+        self.run_with_endpoints(body)
+
     def test_malformed_datagram_is_skipped(self):
         async def body(answering, requesting, found):
             peers = requesting.directory.peers.values()
