Check that late prompts take no engine from those in time

That has changed: a prompt that will be late goes to an engine that is idle and that no prompt in time can use, since a late answer is worth more to its caller than none. Change: the new tests check as much: no engine gets two prompts at once, those at prefill engines are in time, and of two that wait for one engine the one in time goes first although the late one came before.

--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -182,6 +182,27 @@
         # None of them waits behind another prompt at an engine.
         for answer in placed:
             self.assertAlmostEqual(answer.cost_s, answer.expected_s)
+        # Only an engine that was idle gets one that will be late.
+        engines_used = [a.prefill or a.decode for a in placed]
+        self.assertEqual(len(engines_used), len(set(engines_used)))
+        for answer in placed:
+            if answer.prefill:
+                self.assertLessEqual(answer.expected_s, TARGET_S)
+
+    def test_late_prompt_takes_no_engine_from_one_in_time(self):
+        # Both wait for the only prefill engine; the late one came first.
+        self.engines = make_engines(1, 1)
+        self.burst(3)
+        self.scheduler.backlog.prompts.clear()
+        late = make_request('late', 'd1', target_s=3.0, target_left_s=-0.1)
+        in_time = make_request('in time', 'd2', target_left_s=2.0)
+        for request in (late, in_time):
+            self.scheduler.backlog.add(answer_waiting(request, 0.0))
+        for now in (0.3, 0.4, 0.5, 0.6, 0.7, 0.8):
+            released = self.scheduler.assign_waiting(self.engines, now)
+            if released:
+                break
+        self.assertEqual('in time', released[0][0].request.request_id)
 
     def test_late_prompt_waits_for_a_free_engine(self):
         self.burst(20)
