Tell in the log whether an answer reached the caller, and what ended it

Change: request_done has answer (whole, part, none), error and caller; a request without a whole answer whose caller is still there is also logged as request_unanswered and counted; connection_expired tells whether bytes had come; connection_failed shows an exception that ended a connection. The record of an end has its own module. No decision is changed.

--- /dev/null
+++ b/src/mangorock/accounting.py
@@ -0,0 +1,89 @@
+"""Logs and counts how each request ended.
+
+Every request gets one ``request_done`` line.  Its ``answer`` says whether
+the whole answer, a part or none of it was written to the caller.  A request
+without a whole answer whose caller was still there is counted as
+``unanswered`` and logged as a warning, whatever the reason was.
+"""
+
+import time
+
+import attrs
+
+from mangorock import ingress
+from mangorock import logs
+
+
+@attrs.frozen
+class End:
+    """The end of one request.
+
+    ``request`` and ``context`` are None if the request was refused before
+    they were known.  ``reason`` is the result or the reason of the refusal;
+    ``error`` describes the exception that ended the request unanswered.
+    """
+
+    raw: object
+    request: object
+    context: object
+    reply: object
+    reason: str
+    error: str = ''
+
+    @property
+    def is_unanswered(self):
+        """Say whether a caller that is still there got no whole answer."""
+        return (
+            self.reply.progress is not ingress.Progress.WHOLE
+            and not self.reply.caller_error
+        )
+
+
+def record(gateway, end):
+    """Write the ``request_done`` line and update the metrics.
+
+    ``gateway`` is the `gateway.Gateway` that served the request.
+    """
+    seconds = time.monotonic() - end.raw.received_s
+    gateway.metrics.timing('request', seconds)
+    fields = {
+        **_describe_request(end),
+        'end': end.reason,
+        'answer': end.reply.progress.value,
+        'seconds': seconds,
+        **_describe_service(end.context),
+        'config': gateway.catalog.version,
+        'register_age_s': time.monotonic() - gateway.registry.last_contact_s,
+    }
+    if end.error or end.reply.caller_error:
+        fields['error'] = end.error
+        fields['caller'] = end.reply.caller_error
+    logs.event('request_done', **fields)
+    if end.is_unanswered:
+        gateway.metrics.add('unanswered')
+        logs.warning('request_unanswered', **fields)
+
+
+def _describe_request(end):
+    if end.context is not None:
+        return {
+            'request': end.request.request_id,
+            'route': end.context.route.name,
+        }
+    return {
+        'request': end.request.request_id if end.request else '',
+        'host': end.request.host if end.request else '',
+        'target': end.raw.target,
+    }
+
+
+def _describe_service(context):
+    if context is None:
+        return {}
+    return {
+        'placed_s': context.seconds_since_received(context.placed_at_s),
+        'read_s': context.seconds_since_received(context.prompt_read_at_s),
+        'first_s': context.seconds_since_received(context.first_event_at_s),
+        'sends': context.sends,
+        'servers': context.server_ids,
+    }
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -12,6 +12,7 @@
 import curio
 import curio.errors
 
+from mangorock import accounting
 from mangorock import catalog as catalogs
 from mangorock import errors
 from mangorock import generation
@@ -140,7 +141,7 @@
 
     async def handle(self, raw, reply):
         """Serve one request; the handler of an `ingress.Ingress`."""
-        end = 'whole'
+        end, error = 'whole', ''
         request = context = None
         try:
             request = self.wire.decode_request(raw)
@@ -154,8 +155,8 @@
             end = 'timeout'
             refusal = refusals.deadline_passed(context, self.retry_after_s())
             await self._refuse(reply, refusal)
-        except (OSError, curio.errors.CancelledError):
-            end = 'caller_gone'
+        except (OSError, curio.errors.CancelledError) as exc:
+            end, error = 'caller_gone', repr(exc)
             self.metrics.add('caller_gone')
             raise
         except Exception as exc:
@@ -169,36 +170,8 @@
                 ),
             )
         finally:
-            self._record_end(raw, request, context, end)
-
-    def _record_end(self, raw, request, context, end):
-        seconds = time.monotonic() - raw.received_s
-        self.metrics.timing('request', seconds)
-        if context is None:
-            logs.event(
-                'request_done',
-                request=request.request_id if request else '',
-                host=request.host if request else '',
-                target=raw.target,
-                end=end,
-                seconds=seconds,
-                config=self.catalog.version,
-            )
-            return
-        logs.event(
-            'request_done',
-            request=context.request.request_id,
-            route=context.route.name,
-            end=end,
-            seconds=seconds,
-            placed_s=context.seconds_since_received(context.placed_at_s),
-            read_s=context.seconds_since_received(context.prompt_read_at_s),
-            first_s=context.seconds_since_received(context.first_event_at_s),
-            sends=context.sends,
-            servers=context.server_ids,
-            config=self.catalog.version,
-            register_age_s=time.monotonic() - self.registry.last_contact_s,
-        )
+            ended = accounting.End(raw, request, context, reply, end, error)
+            accounting.record(self, ended)
 
     async def _refuse(self, reply, error):
         self.metrics.count_refusal(error.reason)
--- a/src/mangorock/ingress.py
+++ b/src/mangorock/ingress.py
@@ -6,6 +6,7 @@
 that the work at the backend server ends too.
 """
 
+import enum
 import socket
 import struct
 import time
@@ -37,10 +38,22 @@
     received_s: float
 
 
+class Progress(enum.Enum):
+    """How much of an answer was written to the caller's socket."""
+
+    NONE = 'none'
+    PART = 'part'
+    WHOLE = 'whole'
+
+
 class Reply:
     """Writes the answer to one request.
 
     ``must_close()`` says whether the answer must end the connection.
+    ``progress`` tells how much was written, and ``caller_error`` why no more
+    can be: the caller closed its connection or a write to it failed.  It is
+    '' as long as neither happened, so an `OSError` that reaches the handler
+    then has another cause.
     """
 
     def __init__(self, sock, conn, must_close):
@@ -48,6 +61,8 @@
         self.conn = conn
         self.must_close = must_close
         self.is_started = False
+        self.progress = Progress.NONE
+        self.caller_error = ''
 
     async def respond(self, status, headers, body):
         """Send a complete answer."""
@@ -55,12 +70,12 @@
         data = self._encode_head(status, head)
         data += self.conn.send(h11.Data(data=body)) if body else b''
         data += self.conn.send(h11.EndOfMessage())
-        await self.sock.sendall(data)
+        await self._write(data, Progress.WHOLE)
 
     async def start(self, status, headers, data=b''):
         """Send the head of a streamed answer and its first bytes."""
         head = self._encode_head(status, [*headers, CHUNKED_HEADER])
-        await self.sock.sendall(head + self._encode_data(data))
+        await self._write(head + self._encode_data(data), Progress.PART)
 
     def _encode_head(self, status, headers):
         self.is_started = True
@@ -75,11 +90,19 @@
 
     async def send(self, data):
         """Send a part of a streamed answer."""
-        await self.sock.sendall(self._encode_data(data))
+        await self._write(self._encode_data(data), Progress.PART)
 
     async def end(self):
         """End a streamed answer."""
-        await self.sock.sendall(self.conn.send(h11.EndOfMessage()))
+        await self._write(self.conn.send(h11.EndOfMessage()), Progress.WHOLE)
+
+    async def _write(self, data, progress):
+        try:
+            await self.sock.sendall(data)
+        except OSError as exc:
+            self.caller_error = repr(exc)
+            raise
+        self.progress = progress
 
     def abort(self):
         """Have the connection reset on close, as the answer is incomplete."""
@@ -134,6 +157,9 @@
                     conn.start_next_cycle()
         except (OSError, curio.errors.TaskTimeout) as exc:
             logs.debug('connection_ended', error=repr(exc))
+        except Exception as exc:
+            logs.exception('connection_failed', error=repr(exc))
+            raise
         finally:
             del self.connections[task]
 
@@ -152,7 +178,9 @@
         if request is None:
             return False
         self.in_flight += 1
-        watcher = await curio.spawn(_watch_caller, sock, task, daemon=True)
+        watcher = await curio.spawn(
+            _watch_caller, sock, task, reply, daemon=True
+        )
         try:
             await self.handler(request, reply)
         finally:
@@ -202,8 +230,18 @@
         wait_s = (
             limits.head_timeout_s if has_started else limits.idle_timeout_s
         )
-        async with curio.timeout_after(wait_s):
-            conn.receive_data(await sock.recv(client.READ_BYTES))
+        try:
+            async with curio.timeout_after(wait_s):
+                data = await sock.recv(client.READ_BYTES)
+        except curio.errors.TaskTimeout:
+            logs.event(
+                'connection_expired',
+                waited_s=wait_s,
+                has_started=bool(has_started),
+                is_unread=not client.is_connection_idle(sock),
+            )
+            raise
+        conn.receive_data(data)
 
     async def close_idle_connections(self):
         """Close the connections on which no request is being served.
@@ -242,7 +280,7 @@
     )
 
 
-async def _watch_caller(sock, task):
+async def _watch_caller(sock, task, reply):
     """Cancel ``task`` if the caller closes its connection.
 
     Data, such as a pipelined request, ends the watch.
@@ -250,6 +288,7 @@
     try:
         if await sock.recv(1, socket.MSG_PEEK):
             return
+        reply.caller_error = 'closed'
     except OSError as exc:
-        logs.debug('caller_lost', error=repr(exc))
+        reply.caller_error = repr(exc)
     await task.cancel(blocking=False)
