Give up a silent server only where its request can be continued

Callers saw a stream that was begun and then reset, or a 502, although the server was sound and only slow.

Cause: a server that is silent beyond a limit was given up to resume or repeat the request elsewhere, before it was known whether that can be done. Without retry budget, another server or a free place the request then ended: a begun stream was reset, which is an accepted request without an answer. Class: an irreversible step (the connection is closed) is taken before the step that it is taken for is secured. Plain repeatable requests had the same cause and ended with 502 at two fifths of their time.

Evidence: three of the four tests in test_unanswered.SilentStreams failed before, all with a connection reset; the fourth shows that a stream is still resumed where there is room.

Change: SilenceLimits.may_give_up is asked when a limit is exceeded, and again every 0.2 s; until it is true the read goes on. Reads of an Exchange may be repeated after a timeout, as they lose nothing.

--- a/src/mangorock/client.py
+++ b/src/mangorock/client.py
@@ -47,7 +47,8 @@
     ``is_send_started`` is set before the first byte is written to the
     socket.  `send` sets ``status``, ``headers`` (lower-case names) and
     ``raw_headers`` (pairs of bytes).  Read the body with `read` (all of it)
-    or `read_some` (the bytes available; ``b''`` at the end).
+    or `read_some` (the bytes available; ``b''`` at the end).  A read that
+    was cancelled or timed out may be repeated; nothing is lost by it.
     """
 
     def __init__(self, address, sock, conn, is_reused):
@@ -62,9 +63,15 @@
         self.raw_headers = []
         self.request = None
         self.write_task = None
+        self.body = bytearray()
 
     async def send(self, method, path, headers, body):
-        """Send the request and read the status and headers of the response.
+        """Send the request and read the status and headers of the response."""
+        await self.write(method, path, headers, body)
+        await self.read_head()
+
+    async def write(self, method, path, headers, body):
+        """Send the request.
 
         The address is sent as the ``host`` header unless ``headers`` has one.
         """
@@ -82,7 +89,6 @@
             self.write_task = await curio.spawn(self._write, data, daemon=True)
         else:
             await self.sock.sendall(data)
-        await self._read_head()
 
     async def _write(self, data):
         try:
@@ -91,7 +97,8 @@
             # Reading the response fails too, and reports the error.
             logs.debug('body_not_sent', server=self.address, error=repr(exc))
 
-    async def _read_head(self):
+    async def read_head(self):
+        """Read the status and headers of the response."""
         event = await self._next_event()
         for _ in range(MAX_INTERIM_RESPONSES):
             if not isinstance(event, h11.InformationalResponse):
@@ -121,7 +128,7 @@
             self.conn.receive_data(rest)
         if is_closed:
             self.conn.receive_data(b'')
-        await self._read_head()
+        await self.read_head()
 
     async def _next_event(self):
         while True:
@@ -169,15 +176,14 @@
 
         Raises `AnswerTooLongError` beyond `MAX_ANSWER_BYTES`.
         """
-        parts, size = [], 0
         while not self.is_body_complete:
-            parts.append(await self.read_some())
-            size += len(parts[-1])
-            if size > MAX_ANSWER_BYTES:
+            self.body += await self.read_some()
+            if len(self.body) > MAX_ANSWER_BYTES:
                 raise AnswerTooLongError(
                     f'{self.address} sent more than {MAX_ANSWER_BYTES} bytes'
                 )
-        return b''.join(parts)
+        body, self.body = bytes(self.body), bytearray()
+        return body
 
     @property
     def is_body_complete(self):
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -282,11 +282,11 @@
     async def _serve_plain(self, context, service):
         while True:
             server = await self.wait_for_placement(
-                context, lambda: self._place_plain(context, service)
+                context, lambda: self._place_eligible(context, service)
             )
             context.record_placement([server])
             try:
-                outcome = await self._attempt_plain(context, server)
+                outcome = await self._attempt_plain(context, service, server)
             finally:
                 await self.notify_first_waiter(context.service)
             self.log_attempt(context, server, outcome)
@@ -298,36 +298,55 @@
                 case _:
                     self.prepare_retry(context, server, outcome)
 
-    def _place_plain(self, context, service):
+    def _place_eligible(self, context, service):
         servers = self.eligible_servers(context)
         if not servers:
             raise refusals.no_backend(context, self.retry_after_s())
+        return self._place_plain(service, servers)
+
+    def _place_plain(self, service, servers):
         return self.placer.place_plain(
             servers, service.max_connections, time.monotonic()
         )
 
-    async def _attempt_plain(self, context, server):
-        may_repeat = context.route.is_repeatable
+    async def _attempt_plain(self, context, service, server):
         dispatch = self.make_dispatch(context, server)
+        limits = self._silence_limits(context, service, server)
         context.sends += 1
         may_have_run_before, context.may_have_run = context.may_have_run, True
-        wait_s = None
-        if may_repeat and context.sends < context.route.max_servers:
-            wait_s = max(
-                MIN_ATTEMPT_TIMEOUT_S,
-                context.left_s * ATTEMPT_TIMEOUT_FRACTION,
-            )
-        try:
-            async with sending.time_limit(wait_s):
-                outcome = await self.sender.call(
-                    context.request, dispatch, may_repeat
-                )
-        except curio.errors.TaskTimeout:
-            self.sender.record_failure(server)
-            return sending.Broken('silent')
+        outcome = await self.sender.call(context.request, dispatch, limits)
         context.record_outcome(outcome, may_have_run_before)
         return outcome
 
+    def _silence_limits(self, context, service, server):
+        """Return when an attempt of a plain request is given up."""
+        route = context.route
+        if not route.is_repeatable or context.sends + 1 >= route.max_servers:
+            return sending.SilenceLimits(route.is_repeatable)
+        return sending.SilenceLimits(
+            True,
+            max(
+                MIN_ATTEMPT_TIMEOUT_S,
+                context.left_s * ATTEMPT_TIMEOUT_FRACTION,
+            ),
+            may_give_up=lambda: self.can_replace(
+                context, server, lambda s: self._place_plain(service, s)
+            ),
+        )
+
+    def can_replace(self, context, server, place):
+        """Say whether a silent server's request can go to another one.
+
+        It cannot where others wait for a server.
+        ``place(servers)`` chooses one of the other servers, None if none
+        has room.
+        """
+        queue = self.wait_queues.get(context.service)
+        if self.retry_budget.balance < 1.0 or (queue and queue.waiters):
+            return False
+        others = [s for s in self.eligible_servers(context) if s != server]
+        return bool(others) and place(others) is not None
+
     def make_dispatch(self, context, server, **options):
         """Return the `traffic.Dispatch` of this request to a server."""
         return traffic.Dispatch(
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -319,12 +319,17 @@
         servers = gateway.eligible_servers(context)
         if not servers:
             raise refusals.no_backend(context, gateway.retry_after_s())
-        if context.request.prompt is None:
-            server = gateway.placer.place_plain(
+        return self._place_on(servers)
+
+    def _place_on(self, servers):
+        """Return a placement on some of ``servers``, None if all are full."""
+        placer = self.gateway.placer
+        if self.context.request.prompt is None:
+            server = placer.place_plain(
                 servers, self.service.max_connections, time.monotonic()
             )
             return server and placement.Placement(server)
-        return gateway.placer.place_generation(
+        return placer.place_generation(
             self._make_demand(), servers, time.monotonic()
         )
 
@@ -428,7 +433,7 @@
         try:
             async with curio.timeout_after(wait_s):
                 outcome = await gateway.sender.call(
-                    context.request, dispatch, True
+                    context.request, dispatch, sending.SilenceLimits(True)
                 )
         except curio.errors.TaskTimeout:
             gateway.sender.record_failure(server)
@@ -463,10 +468,11 @@
             fetch_from=affinity_server.address if is_cached_elsewhere else '',
             resume_after=self.relay.splitter.last_id,
         )
+        limits = self._silence_limits(server)
         context.sends += 1
         may_have_run_before, context.may_have_run = context.may_have_run, True
         outcome = await gateway.sender.stream(
-            context.request, dispatch, self.relay, self._silence_limits()
+            context.request, dispatch, self.relay, limits
         )
         context.record_outcome(outcome, may_have_run_before)
         if isinstance(outcome, (sending.Broken, sending.Unreachable)):
@@ -491,10 +497,10 @@
         waited_s = time.monotonic() - waiting_since_s
         return min(self.context.left_s, caller_read_timeout_s - waited_s)
 
-    def _silence_limits(self):
+    def _silence_limits(self, server):
         route = self.context.route
         can_resume = (
-            route.is_resumable and self.context.sends < route.max_servers
+            route.is_resumable and self.context.sends + 1 < route.max_servers
         )
         if not can_resume:
             return sending.SilenceLimits(route.is_repeatable)
@@ -505,6 +511,9 @@
             True,
             max(least_s, FIRST_EVENT_TARGET_FACTOR * route.target_s),
             max(least_s, MAX_GAP_FACTOR * route.max_gap_s),
+            lambda: self.gateway.can_replace(
+                self.context, server, self._place_on
+            ),
         )
 
 
--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -22,6 +22,9 @@
 MAX_UNSAFE_IDLE_S = 1.0
 # Stands for no limit, as it is longer than any request.
 NO_LIMIT_S = 86400.0
+# Interval at which it is checked again whether a silent server can be
+# replaced.
+RECHECK_S = 0.2
 
 
 class InvalidAnswer(Exception):
@@ -73,15 +76,62 @@
 
 @attrs.frozen
 class SilenceLimits:
-    """How long a stream may be silent before its first event and later.
+    """How long a server may be silent before its first event and later.
 
     None means no limit besides the deadline of the request.  ``may_repeat``
-    says that the request may run again elsewhere.
+    says that the request may run again elsewhere.  A server that exceeds a
+    limit is given up only if ``may_give_up()`` is true: silence alone is no
+    failure, so an answer is not ended by it unless it can be continued.
     """
 
     may_repeat: bool
     first_event_s: float | None = None
     gap_s: float | None = None
+    may_give_up: object = attrs.field(default=lambda: True)
+
+
+@attrs.define
+class SilenceTimer:
+    """Limits the time that reads from one server take together.
+
+    Example::
+
+        timer = SilenceTimer(limits.first_event_s, limits.may_give_up)
+        await timer.read(exchange.read_head)
+        timer.restart(limits.gap_s)
+        data = await timer.read(exchange.read_some)
+    """
+
+    limit_s: float | None
+    may_give_up: object
+    since_s: float = attrs.field(factory=time.monotonic)
+
+    def restart(self, limit_s):
+        """Start to measure anew, as the server was not silent."""
+        self.limit_s, self.since_s = limit_s, time.monotonic()
+
+    @property
+    def left_s(self):
+        """Return the seconds until the limit, None if there is none."""
+        if self.limit_s is None:
+            return None
+        waited_s = time.monotonic() - self.since_s
+        return max(0.0, self.limit_s - waited_s)
+
+    async def read(self, read):
+        """Return the result of ``read()``, which is repeated if needed.
+
+        Raises `curio.errors.TaskTimeout` if the server is given up.
+        """
+        while True:
+            try:
+                async with time_limit(self.left_s):
+                    return await read()
+            except curio.errors.TaskTimeout:
+                if self.may_give_up():
+                    raise
+                waited_s = time.monotonic() - self.since_s
+                self.limit_s = waited_s + RECHECK_S
 
 
 @attrs.define
@@ -96,18 +146,24 @@
     placer: object
     outliers: object
 
-    async def call(self, request, dispatch, may_repeat):
-        """Send the request, read the complete answer, return the outcome."""
-        exchange = await self._open_exchange(dispatch, may_repeat)
+    async def call(self, request, dispatch, limits):
+        """Send the request, read the complete answer, return the outcome.
+
+        ``limits.first_event_s`` is the limit on the whole answer.
+        """
+        exchange = await self._open_exchange(dispatch, limits.may_repeat)
         if isinstance(exchange, Unreachable):
             return exchange
+        timer = SilenceTimer(limits.first_event_s, limits.may_give_up)
         try:
             answer = await self._send_and_read_head(
-                exchange, request, dispatch
+                exchange, request, dispatch, timer
             )
-            body = await exchange.read()
+            body = await timer.read(exchange.read)
         except (OSError, h11.ProtocolError, InvalidAnswer) as exc:
             return self._broken_outcome(dispatch, exc)
+        except curio.errors.TaskTimeout:
+            return self._broken_outcome(dispatch, 'silent')
         finally:
             await self._close_exchange(exchange, dispatch)
         if answer.has_not_run:
@@ -119,23 +175,24 @@
         """Send the request, relay its event stream, return the outcome.
 
         ``relay`` has ``splitter`` (an `events.EventSplitter`) and the
-        coroutine ``feed``.  A server that is silent for longer than
-        ``limits`` allows counts as broken.
+        coroutine ``feed``.  A server that is given up according to
+        ``limits`` counts as broken.
         """
         exchange = await self._open_exchange(dispatch, limits.may_repeat)
         if isinstance(exchange, Unreachable):
             return exchange
+        timer = SilenceTimer(limits.first_event_s, limits.may_give_up)
         try:
-            async with time_limit(limits.first_event_s):
-                answer = await self._send_and_read_head(
-                    exchange, request, dispatch
-                )
+            answer = await self._send_and_read_head(
+                exchange, request, dispatch, timer
+            )
             if answer.has_not_run or not answer.is_success:
                 body = await exchange.read()
                 if answer.has_not_run:
                     return Refused(answer)
                 return Whole(answer, body)
-            await self._relay(exchange, answer, relay, limits)
+            timer.restart(limits.first_event_s)
+            await self._relay(exchange, answer, relay, timer, limits.gap_s)
         except (
             OSError,
             h11.ProtocolError,
@@ -152,24 +209,17 @@
         self.outliers.on_success(dispatch.server)
         return Streamed(answer)
 
-    async def _relay(self, exchange, answer, relay, limits):
+    async def _relay(self, exchange, answer, relay, timer, gap_s):
         """Relay the stream to its end, and check that it goes on.
 
         The limit is on the time between whole events, since a stalled server
         may send a byte now and then.
         """
-        limit_s, waits_since_s = limits.first_event_s, time.monotonic()
-        while True:
-            waited_s = time.monotonic() - waits_since_s
-            left_s = None if limit_s is None else max(0.0, limit_s - waited_s)
-            async with time_limit(left_s):
-                data = await exchange.read_some()
-            if not data:
-                break
+        while data := await timer.read(exchange.read_some):
             whole = relay.splitter.feed(data)
             if whole:
                 await relay.feed(answer, whole)
-                limit_s, waits_since_s = limits.gap_s, time.monotonic()
+                timer.restart(gap_s)
         if not relay.splitter.is_between_events:
             raise InvalidAnswer('the stream ended inside an event')
 
@@ -189,16 +239,18 @@
             self._release_server(dispatch)
             raise
 
-    async def _send_and_read_head(self, exchange, request, dispatch):
+    async def _send_and_read_head(self, exchange, request, dispatch, timer):
         """Send the request and return the `traffic.Answer` that belongs to it.
 
         Late answers to earlier requests on the connection are skipped.
         """
         sent_s = time.monotonic()
         headers = self.wire.encode_headers(request, dispatch)
-        await exchange.send(
-            request.method, request.target, headers, request.body
-        )
+        async with time_limit(timer.left_s):
+            await exchange.write(
+                request.method, request.target, headers, request.body
+            )
+        await timer.read(exchange.read_head)
         answer = self._decode_head(exchange)
         foreign_answers = 0
         while answer.request_id not in ('', request.request_id):
--- /dev/null
+++ b/tests/test_unanswered.py
@@ -0,0 +1,108 @@
+"""Tests that each whole request gets an answer or a refusal."""
+
+import unittest
+
+import curio
+
+from tests import fleet
+from tests import test_front
+from tests import workers
+
+CHUNKED = b'Transfer-Encoding: chunked'
+# Longer than a silent stream is waited for before it is resumed.
+SILENCE_S = 1.5
+# More requests than any server may have in flight.
+MANY = 1000
+
+
+def be_silent_after(events):
+    """Return a worker's script: a stream that pauses after some events."""
+
+    def answer(request):
+        if 'last-event-id' in request.headers:
+            return workers.stream_response(request)
+        head = workers.response_head(request, CHUNKED)
+        return [
+            head + workers.event_chunks(1, events),
+            SILENCE_S,
+            workers.event_chunks(events + 1, 4) + b'0\r\n\r\n',
+        ]
+
+    return answer
+
+
+def make_config():
+    """Return a configuration whose resumable route lasts six seconds."""
+    config = fleet.make_config(2)
+    config['routes'][2]['timeoutMs'] = 6000
+    return config
+
+
+async def read_stream(cluster):
+    """Return the number of events that a caller of the route gets."""
+    _, body = await cluster.request(
+        'POST',
+        '/read/',
+        ('x-deadline-ms', '6000'),
+        *fleet.prompt_headers(),
+        body=b'q',
+    )
+    return body.count(b'data: ')
+
+
+class SilentStreams(unittest.TestCase):
+    """Streams of sound servers that send nothing for a while."""
+
+    @test_front.run
+    async def test_silent_stream_is_kept_without_another_server(self):
+        # It was given up to be resumed, and then cut, as nobody could.
+        worker = workers.Worker('d1', 'llm', be_silent_after(2))
+        async with fleet.Fleet(worker, config=make_config()) as cluster:
+            self.assertEqual(4, await read_stream(cluster))
+        self.assertEqual(1, len(worker.received))
+
+    @test_front.run
+    async def test_silent_stream_is_kept_without_retry_budget(self):
+        servers = [
+            workers.Worker('d1', 'llm', be_silent_after(2)),
+            workers.Worker('d2', 'llm', be_silent_after(2)),
+        ]
+        async with fleet.Fleet(*servers, config=make_config()) as cluster:
+            cluster.front.gateway.retry_budget.burst = 0.5
+            cluster.front.gateway.retry_budget.balance = 0.0
+            self.assertEqual(4, await read_stream(cluster))
+        received = sum(len(server.received) for server in servers)
+        self.assertEqual(1, received)
+
+    @test_front.run
+    async def test_silent_stream_is_kept_while_others_are_full(self):
+        servers = [
+            workers.Worker('d1', 'llm', be_silent_after(2)),
+            workers.Worker('d2', 'llm', be_silent_after(2)),
+        ]
+        async with fleet.Fleet(*servers, config=make_config()) as cluster:
+            placer = cluster.front.gateway.placer
+            stream = await curio.spawn(read_stream, cluster)
+            await fleet.wait_until(lambda: sum_received(servers))
+            for server in cluster.front.gateway.registry.servers.values():
+                placer.load(server).in_flight += MANY
+            self.assertEqual(4, await stream.join())
+        self.assertEqual(1, sum_received(servers))
+
+    @test_front.run
+    async def test_silent_stream_is_resumed_where_there_is_room(self):
+        servers = [
+            workers.Worker('d1', 'llm', be_silent_after(2)),
+            workers.Worker('d2', 'llm', be_silent_after(2)),
+        ]
+        async with fleet.Fleet(*servers, config=make_config()) as cluster:
+            started_s = await curio.clock()
+            self.assertEqual(4, await read_stream(cluster))
+            passed_s = await curio.clock() - started_s
+        self.assertLess(passed_s, SILENCE_S)
+        self.assertEqual(2, sum_received(servers))
+
+
+def sum_received(servers):
+    """Return how many requests some workers have received."""
+    return sum(len(server.received) for server in servers)
