Let a stream that broke off wait for room until its caller gives up

Callers saw a begun stream reset as soon as its server broke off, although another server had room shortly afterwards.

Cause: a stream to be resumed waited like a new request, until its target latency had passed since its arrival. By then it had mostly passed, so the stream was refused without any wait, and a begun answer that is refused is reset. New requests also went before it in the queue, and it found no place in a full one. Class: a limit made for requests that can still be refused is applied to those that cannot.

Evidence: test_resumed_stream_waits_for_room failed before with a reset.

Change: waiting.Wait says how urgently and until when a request waits. A stream that was begun goes before new requests and waits until its caller gives up, as it already did at the shared scheduler. Result: the tests of the front, of forwarding and test_unanswered pass.

--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -31,8 +31,6 @@
 
 # Requests per service that may wait for a server with a free slot.
 MAX_QUEUED_REQUESTS = 64
-# Longest wait for a free slot, as a fraction of the target latency.
-MAX_WAIT_TARGET_FRACTION = 1.0
 # Fraction of the remaining time after which an attempt of a repeatable
 # request is given up, so that time is left for another one.
 ATTEMPT_TIMEOUT_FRACTION = 0.4
@@ -437,26 +435,23 @@
                     raise refusals.backend_broken()
                 self.metrics.count_retry(metrics_module.RetryReason.BROKEN)
 
-    async def wait_for_placement(self, context, place):
+    async def wait_for_placement(self, context, place, wait=None):
         """Return the result of ``place()``, waiting while it is None.
 
+        ``wait`` is a `waiting.Wait`, by default that of a new request.
         Raises `errors.Overloaded` if the queue is full or the wait is over.
         """
-        route = context.route
+        wait = wait or waiting.wait_of_new_request(context)
         queue = self.wait_queues.setdefault(
             context.service, waiting.WaitQueue(MAX_QUEUED_REQUESTS)
         )
-        if queue.is_first(route.priority):
+        if queue.is_first(wait.priority):
             found = place()
             if found is not None:
                 return found
-        now = time.monotonic()
-        wait_until_s = min(
-            context.request.received_s
-            + MAX_WAIT_TARGET_FRACTION * route.target_s,
-            context.deadline_s,
+        ticket = queue.add(
+            wait.priority, time.monotonic(), wait.until_s, wait.is_resumed
         )
-        ticket = queue.add(route.priority, now, wait_until_s)
         if ticket is None:
             raise refusals.overloaded(context, self.retry_after_s())
         try:
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -20,6 +20,7 @@
 from mangorock import placement
 from mangorock import refusals
 from mangorock import sending
+from mangorock import waiting
 
 # Silence after which a resumable stream is given up: a multiple of the target
 # latency before its first event, of the longest allowed pause after it, and
@@ -200,9 +201,16 @@
             if placed is not None:
                 return placed
         return await self.gateway.wait_for_placement(
-            self.context, self._place_locally
+            self.context, self._place_locally, self._wait()
         )
 
+    def _wait(self):
+        """Return the `waiting.Wait`: until the caller gives up a stream."""
+        if not self.relay.reply.is_started:
+            return waiting.wait_of_new_request(self.context)
+        until_s = time.monotonic() + self._first_event_left_s()
+        return waiting.Wait(messages.RESUMED_PRIORITY, until_s, True)
+
     async def _ask_scheduler(self):
         """Return the placement that the shared scheduler chose.
 
--- a/src/mangorock/waiting.py
+++ b/src/mangorock/waiting.py
@@ -9,6 +9,33 @@
 import attrs
 import curio
 
+# Longest wait of a new request, as a fraction of the target latency.
+MAX_WAIT_TARGET_FRACTION = 1.0
+
+
+@attrs.frozen
+class Wait:
+    """How urgently and until when a request waits for a server.
+
+    ``is_resumed`` says that a part of its answer was written.  Such a
+    request always finds room in the queue, as there is no way to refuse it.
+    """
+
+    priority: int
+    until_s: float
+    is_resumed: bool = False
+
+
+def wait_of_new_request(context):
+    """Return the `Wait` of a request of which no answer was written.
+
+    ``context`` is the request's `gateway.RequestContext`.
+    """
+    route = context.route
+    target_s = MAX_WAIT_TARGET_FRACTION * route.target_s
+    until_s = context.request.received_s + target_s
+    return Wait(route.priority, min(until_s, context.deadline_s))
+
 
 @attrs.define(eq=False)
 class Waiter:
@@ -32,9 +59,9 @@
     max_waiters: int
     waiters: list = attrs.field(factory=list)
 
-    def add(self, priority, now, expires_at_s):
+    def add(self, priority, now, expires_at_s, is_resumed=False):
         """Return a new `Waiter`, or None if the queue is full."""
-        if len(self.waiters) >= self.max_waiters:
+        if len(self.waiters) >= self.max_waiters and not is_resumed:
             return None
         waiter = Waiter(priority, now, expires_at_s)
         self.waiters.append(waiter)
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -103,6 +103,40 @@
         self.assertEqual(2, sum_received(servers))
 
 
+class ResumedStreams(unittest.TestCase):
+    """Streams whose server broke off and that go on elsewhere."""
+
+    @test_front.run
+    async def test_resumed_stream_waits_for_room(self):
+        # Its target latency had passed, so it was not allowed to wait.
+        def break_off(request):
+            if 'last-event-id' in request.headers:
+                return workers.stream_response(request)
+            head = workers.response_head(request, CHUNKED)
+            return [head + workers.event_chunks(1, 2), 0.5, workers.CLOSE]
+
+        servers = [
+            workers.Worker('d1', 'llm', break_off),
+            workers.Worker('d2', 'llm', break_off),
+        ]
+        async with fleet.Fleet(*servers, config=make_config()) as cluster:
+            placer = cluster.front.gateway.placer
+            stream = await curio.spawn(read_stream, cluster)
+            await fleet.wait_until(lambda: sum_received(servers))
+            loads = [
+                placer.load(server)
+                for server in cluster.front.gateway.registry.servers.values()
+            ]
+            for load in loads:
+                load.in_flight += MANY
+            await curio.sleep(0.9)
+            for load in loads:
+                load.in_flight -= MANY
+            await cluster.front.gateway.notify_first_waiter('llm')
+            self.assertEqual(4, await stream.join())
+        self.assertEqual(2, sum_received(servers))
+
+
 def sum_received(servers):
     """Return how many requests some workers have received."""
     return sum(len(server.received) for server in servers)
