Answer a request whose failure is not its caller's

Callers saw their connection closed without an answer; the log had a line that said the caller had gone.

Cause: the gateway took every OSError for one of the caller's connection and passed it on to the ingress, which ends the connection at debug level. Any other source of an OSError (descriptors, a file, a socket of the VM itself) so ended an accepted request in silence. Class: an error is attributed by its type instead of by where it arose.

Evidence: test_error_that_is_not_the_callers_is_answered failed before with a closed connection.

Change: Reply records that a write to its caller failed; only then an OSError is the caller's. Every other one is logged and answered as an internal error. A cancellation by a stop is told apart from a caller that left.

--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -153,11 +153,17 @@
             end = 'timeout'
             refusal = refusals.deadline_passed(context, self.retry_after_s())
             await self._refuse(reply, refusal)
-        except (OSError, curio.errors.CancelledError) as exc:
-            end, error = 'caller_gone', repr(exc)
-            self.metrics.add('caller_gone')
+        except curio.errors.CancelledError as exc:
+            end = 'caller_gone' if reply.caller_error else 'cancelled'
+            error = repr(exc)
+            self.metrics.add(end)
             raise
         except Exception as exc:
+            error = repr(exc)
+            if isinstance(exc, OSError) and reply.caller_error:
+                end = 'caller_gone'
+                self.metrics.add(end)
+                raise
             end = 'internal'
             logs.exception('request_failed', path=raw.target, error=repr(exc))
             await self._refuse(
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -1,9 +1,11 @@
 """Tests that each whole request gets an answer or a refusal."""
 
 import unittest
+from unittest import mock
 
 import curio
 
+from mangorock import placement
 from tests import fleet
 from tests import test_front
 from tests import workers
@@ -140,3 +142,22 @@
 def sum_received(servers):
     """Return how many requests some workers have received."""
     return sum(len(server.received) for server in servers)
+
+
+class OwnFailures(unittest.TestCase):
+    """Failures of the VM itself while it serves a request."""
+
+    @test_front.run
+    async def test_error_that_is_not_the_callers_is_answered(self):
+        # An OSError of any origin was taken for the caller's, and ended its
+        # connection without an answer or a line in the log.
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        failure = OSError('no descriptors left')
+        async with fleet.Fleet(worker) as cluster:
+            with mock.patch.object(
+                placement.Placer, 'place_plain', side_effect=failure
+            ):
+                exchange, _ = await cluster.request(
+                    'POST', '/place/', body=b'o'
+                )
+        self.assertEqual(500, exchange.status)
