Count an answer as begun only once its head is valid

Callers saw a reset instead of an answer where the head to be written was malformed.

Cause: Reply.is_started was set before h11 had accepted the head, and the refusal of a begun answer is a reset. Class: a state is recorded before the step that it stands for is done.

Change: the head is validated first.

--- a/src/mangorock/ingress.py
+++ b/src/mangorock/ingress.py
@@ -78,12 +78,12 @@
         await self._write(head + self._encode_data(data), Progress.PART)
 
     def _encode_head(self, status, headers):
-        self.is_started = True
         if self.must_close():
             headers = [*headers, (b'connection', b'close')]
-        return self.conn.send(
-            h11.Response(status_code=status, headers=headers)
-        )
+        # Raises an error for a malformed head, which can still be replaced.
+        head = h11.Response(status_code=status, headers=headers)
+        self.is_started = True
+        return self.conn.send(head)
 
     def _encode_data(self, data):
         return self.conn.send(h11.Data(data=data)) if data else b''
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest import mock
 
+import attrs
 import curio
 
 from mangorock import placement
@@ -161,3 +162,28 @@
                     'POST', '/place/', body=b'o'
                 )
         self.assertEqual(500, exchange.status)
+
+    @test_front.run
+    async def test_head_that_cannot_be_written_is_answered(self):
+        # The answer counted as begun before its head was accepted.
+        def answer(request):
+            return workers.whole_response(request)
+
+        worker = workers.Worker('w1', 'desk', answer)
+        async with fleet.Fleet(worker) as cluster:
+            wire = cluster.front.gateway.sender.wire
+            decode = wire.decode_answer
+
+            def add_malformed(status, headers):
+                found = decode(status, headers)
+                broken = (*found.headers, (b'x-line', b'a\r\nb'))
+                return attrs.evolve(found, headers=broken)
+
+            wire.decode_answer = add_malformed
+            try:
+                exchange, _ = await cluster.request(
+                    'POST', '/place/', body=b'o'
+                )
+            finally:
+                wire.decode_answer = decode
+        self.assertEqual(500, exchange.status)
