Read a request that comes as its connection's idle time ends

Callers whose request arrived in the moment in which the idle time of their connection ended got no answer: the connection was closed with the request unread.

Cause: the idle timeout closed the connection without a look at what it had received; a planned stop did look. Class: a decision on what was known when its timer was set.

Change: bytes that have come are read before the connection is given up, and connection_expired tells so. Result: the tests of the front and of test_unanswered pass.

--- a/src/mangorock/ingress.py
+++ b/src/mangorock/ingress.py
@@ -234,13 +234,16 @@
             async with curio.timeout_after(wait_s):
                 data = await sock.recv(client.READ_BYTES)
         except curio.errors.TaskTimeout:
+            is_unread = not client.is_connection_idle(sock)
             logs.event(
                 'connection_expired',
                 waited_s=wait_s,
                 has_started=bool(has_started),
-                is_unread=not client.is_connection_idle(sock),
+                is_unread=is_unread,
             )
-            raise
+            if not is_unread:
+                raise
+            data = await sock.recv(client.READ_BYTES)
         conn.receive_data(data)
 
     async def close_idle_connections(self):
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -1,11 +1,16 @@
 """Tests that each whole request gets an answer or a refusal."""
 
+import socket
 import unittest
 from unittest import mock
 
 import attrs
 import curio
+import curio.errors
+import curio.io
 
+from mangorock import catalog
+from mangorock import ingress
 from mangorock import placement
 from tests import fleet
 from tests import test_front
@@ -187,3 +192,52 @@
             finally:
                 wire.decode_answer = decode
         self.assertEqual(500, exchange.status)
+
+
+class IdleConnections(unittest.TestCase):
+    """Connections whose idle time is over."""
+
+    def test_request_that_came_with_the_timeout_is_read(self):
+        # The connection was closed without a look at what it had received.
+        curio.run(self.check_expiry)
+
+    async def check_expiry(self):
+        ours, theirs = socket.socketpair()
+        served = []
+
+        async def serve(request, reply):
+            served.append(request.target)
+            await reply.respond(200, [], b'')
+
+        front = ingress.Ingress(
+            serve,
+            lambda: catalog.CallerLimits(idle_timeout_s=0.05),
+            lambda error: (error.status, [], b''),
+        )
+        sock = LateSocket(ours, theirs)
+        await front._serve_connection(sock)
+        theirs.setblocking(False)
+        self.assertEqual(['/late/'], served)
+        self.assertIn(b'200', theirs.recv(4096))
+        theirs.close()
+
+
+class LateSocket(curio.io.Socket):
+    """A socket that receives a request just as its reader gives up."""
+
+    def __init__(self, ours, theirs):
+        super().__init__(ours)
+        self.theirs = theirs
+        self.has_sent = False
+
+    async def recv(self, size, flags=0):
+        """Receive; the request comes when the first read is cancelled."""
+        if flags:
+            return await super().recv(size, flags)
+        try:
+            return await super().recv(size, flags)
+        except curio.CancelledError:
+            if not self.has_sent:
+                self.has_sent = True
+                self.theirs.sendall(b'GET /late/ HTTP/1.1\r\nhost: a\r\n\r\n')
+            raise
