Hold open connections to the limits that are in force

Callers that followed a changed configuration found their connection closed while idle, or their request refused with 413, on connections that were opened or left waiting before the change.

Cause: a connection read the limits once, when it began to wait for a request, and kept them until the request after was complete: the request was held to the limits of one version and the callers to those of another.

Change: the limits are read at each step; a wait that ends is extended if the limit has become longer meanwhile. The limit on a head still holds from the start of a connection, as h11 takes it once.

--- a/src/mangorock/ingress.py
+++ b/src/mangorock/ingress.py
@@ -27,6 +27,10 @@
 MAX_PROBE_BYTES = 4096
 
 
+class ConnectionIdle(OSError):
+    """A connection sent nothing for longer than the limits allow."""
+
+
 @attrs.frozen
 class RawRequest:
     """A complete request as received; header names are lower case."""
@@ -155,7 +159,7 @@
             async with sock:
                 while await self._serve_request(task, sock, conn):
                     conn.start_next_cycle()
-        except (OSError, curio.errors.TaskTimeout) as exc:
+        except OSError as exc:
             logs.debug('connection_ended', error=repr(exc))
         except Exception as exc:
             logs.exception('connection_failed', error=repr(exc))
@@ -197,8 +201,11 @@
         return False
 
     async def _read_request(self, sock, conn):
-        """Return the next `RawRequest`, None if the caller closed."""
-        limits = self.get_limits()
+        """Return the next `RawRequest`, None if the caller closed.
+
+        The limits in force are read at each step, as the configuration may
+        change while the connection is open.
+        """
         head, body = None, bytearray()
         while True:
             event = conn.next_event()
@@ -208,44 +215,58 @@
                     check_framing(head)
                 case h11.Data():
                     body += event.data
-                    if len(body) > limits.max_body_bytes:
-                        raise errors.TooLarge(
-                            f'the body exceeds {limits.max_body_bytes} '
-                            'bytes; send a smaller one'
-                        )
+                    check_body_size(body, self.get_limits().max_body_bytes)
                 case h11.EndOfMessage():
                     return _make_request(head, bytes(body))
                 case h11.ConnectionClosed() | h11.PAUSED:
                     return None
                 case h11.NEED_DATA:
-                    await self._receive(sock, conn, head, limits)
+                    await self._receive(sock, conn, head)
 
-    async def _receive(self, sock, conn, head, limits):
+    async def _receive(self, sock, conn, head):
         if conn.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(
                 status_code=100, headers=[]
             )
             await sock.sendall(conn.send(continue_response))
-        has_started = head is not None or conn.trailing_data[0]
-        wait_s = (
-            limits.head_timeout_s if has_started else limits.idle_timeout_s
-        )
-        try:
-            async with curio.timeout_after(wait_s):
-                data = await sock.recv(client.READ_BYTES)
-        except curio.errors.TaskTimeout:
-            is_unread = not client.is_connection_idle(sock)
-            logs.event(
-                'connection_expired',
-                waited_s=wait_s,
-                has_started=bool(has_started),
-                is_unread=is_unread,
-            )
-            if not is_unread:
-                raise
-            data = await sock.recv(client.READ_BYTES)
+        has_started = head is not None or bool(conn.trailing_data[0])
+        since_s, is_expired = time.monotonic(), False
+        while not is_expired:
+            try:
+                async with curio.timeout_after(
+                    self._wait_limit_s(has_started) - _seconds_since(since_s)
+                ):
+                    data = await sock.recv(client.READ_BYTES)
+                break
+            except curio.errors.TaskTimeout:
+                # The limit may have become longer meanwhile.
+                waited_s = _seconds_since(since_s)
+                is_expired = waited_s >= self._wait_limit_s(has_started)
+        else:
+            data = await self._receive_last(sock, waited_s, has_started)
         conn.receive_data(data)
 
+    def _wait_limit_s(self, has_started):
+        limits = self.get_limits()
+        return limits.head_timeout_s if has_started else limits.idle_timeout_s
+
+    @staticmethod
+    async def _receive_last(sock, waited_s, has_started):
+        """Return what has come on a connection whose time is over.
+
+        Raises `ConnectionIdle` if nothing has.
+        """
+        is_unread = not client.is_connection_idle(sock)
+        logs.event(
+            'connection_expired',
+            waited_s=waited_s,
+            has_started=has_started,
+            is_unread=is_unread,
+        )
+        if not is_unread:
+            raise ConnectionIdle(f'no bytes came for {waited_s:.3f} s')
+        return await sock.recv(client.READ_BYTES)
+
     async def close_idle_connections(self):
         """Close the connections on which no request is being served.
 
@@ -273,6 +294,18 @@
         )
 
 
+def check_body_size(body, max_bytes):
+    """Raise `errors.TooLarge` if a body has more than ``max_bytes``."""
+    if len(body) > max_bytes:
+        raise errors.TooLarge(
+            f'the body exceeds {max_bytes} bytes; send a smaller one'
+        )
+
+
+def _seconds_since(moment_s):
+    return time.monotonic() - moment_s
+
+
 def _make_request(head, body):
     return RawRequest(
         head.method.decode('ascii'),
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -222,6 +222,52 @@
         theirs.close()
 
 
+class ChangedLimits(unittest.TestCase):
+    """Open connections whose limits a new configuration changes."""
+
+    @test_front.run
+    async def test_longer_idle_time_holds_for_open_connections(self):
+        # The limits were read when a connection began to wait, so callers
+        # that followed the new ones found it closed.
+        config = make_config()
+        config['limits']['idleTimeoutMs'] = 400
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        async with fleet.Fleet(worker, config=config) as cluster:
+            exchange = await cluster.open()
+            changed = make_config()
+            changed['version'] = 3
+            cluster.store.put('op/config', changed)
+            await fleet.wait_until(
+                lambda: cluster.front.gateway.catalog.version == 3
+            )
+            await curio.sleep(0.6)
+            await exchange.send(
+                'GET', '/look/', cluster.request_headers(), b''
+            )
+            self.assertEqual(b'done', await exchange.read())
+            await cluster.client.discard(exchange)
+
+    @test_front.run
+    async def test_larger_body_is_read_on_open_connections(self):
+        config = make_config()
+        config['limits']['maxBodyBytes'] = 10
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        async with fleet.Fleet(worker, config=config) as cluster:
+            exchange = await cluster.open()
+            await curio.sleep(0.05)
+            changed = make_config()
+            changed['version'] = 3
+            cluster.store.put('op/config', changed)
+            await fleet.wait_until(
+                lambda: cluster.front.gateway.catalog.version == 3
+            )
+            headers = cluster.request_headers()
+            await exchange.send('POST', '/place/', headers, b'o' * 100)
+            self.assertEqual(200, exchange.status)
+            await exchange.read()
+            await cluster.client.discard(exchange)
+
+
 class LateSocket(curio.io.Socket):
     """A socket that receives a request just as its reader gives up."""
 
