Answer what is accepted while a planned stop ends

Callers that connected in the last millisecond of a planned stop had their request read, sent to a server, also one that must not run twice, and got no answer; the log said is_clean=True.

Cause: the stop ended once no connection was left, but the listening socket was closed last of all, after the other tasks were cancelled. A connection accepted in between was served and cancelled with the process. One that was accepted, but whose task had not run yet, was not counted at all. Class: a check is followed by the step that it is to protect, not preceded by it.

Change: the ingress closes its listening socket when no connection is left, takes what the system had accepted without a pause in between, counts a connection from the moment it is accepted, and the stop ends after a second check. A connection whose caller may still be sending is not taken for idle.

--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -41,6 +41,9 @@
 # Time from SIGTERM until idle connections are closed; by then the load
 # balancer sends no new connections to this VM.
 CLOSE_IDLE_AFTER_S = 3.0
+STOP_CHECK_INTERVAL_S = 0.05
+# Part of the margin in which the last requests get their refusal.
+LAST_ANSWERS_S = 0.2
 
 
 @attrs.frozen
@@ -131,7 +134,7 @@
         settings = self.settings
         callers = http.listen(*settings.caller_address)
         probes = http.listen(*settings.ready_address)
-        await self.spawn(self.ingress.serve, callers)
+        await self.ingress.start(callers)
         await self.spawn(
             http.serve, probes, self._answer_probe, ingresses.MAX_PROBE_BYTES
         )
@@ -366,16 +369,33 @@
         logs.event('stopping', in_flight=self.ingress.in_flight)
         end_s = started_s + self.settings.grace_s - STOP_MARGIN_S
         self.gateway.stops_at_s = end_s
-        while time.monotonic() < end_s:
-            if time.monotonic() - started_s > CLOSE_IDLE_AFTER_S:
-                await self.ingress.close_idle_connections()
-                if not self.ingress.connections:
-                    break
-            await curio.sleep(0.05)
+        await curio.sleep(min(CLOSE_IDLE_AFTER_S, end_s - started_s))
+        await self._end_connections(end_s)
         return not self.ingress.in_flight
 
+    async def _end_connections(self, end_s):
+        """Wait until no connection is left, at most until ``end_s``.
+
+        The last check follows the end of the listening socket, so that no
+        request can come after it.
+        """
+        while True:
+            is_over = time.monotonic() >= end_s
+            if is_over or not self.ingress.connections:
+                await self.ingress.close()
+            if not self.ingress.connections:
+                return
+            if time.monotonic() >= end_s + LAST_ANSWERS_S:
+                logs.warning(
+                    'connections_cut', count=len(self.ingress.connections)
+                )
+                return
+            await self.ingress.close_idle_connections()
+            await curio.sleep(STOP_CHECK_INTERVAL_S)
+
     async def close(self):
         """Cancel the tasks in reverse order; idempotent."""
+        await self.ingress.close()
         while self.tasks:
             await self.tasks.pop().cancel()
         if self.gateway.scheduler_endpoint is not None:
--- a/src/mangorock/ingress.py
+++ b/src/mangorock/ingress.py
@@ -14,6 +14,7 @@
 import attrs
 import curio
 import curio.errors
+import curio.io
 import h11
 
 from mangorock import client
@@ -25,6 +26,9 @@
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 CHUNKED_HEADER = (b'transfer-encoding', b'chunked')
 MAX_PROBE_BYTES = 4096
+ACCEPT_RETRY_S = 0.05
+# Longer than a caller's first request takes to follow its connection.
+MIN_IDLE_S = 0.2
 
 
 class ConnectionIdle(OSError):
@@ -116,8 +120,26 @@
         self.conn.send_failed()
 
 
+@attrs.define
+class Connection:
+    """A caller's connection, and since when it waits for a request."""
+
+    sock: object
+    conn: h11.Connection
+    waits_since_s: float
+
+    def is_idle(self, now):
+        """Say whether nothing has come for `MIN_IDLE_S`."""
+        return (
+            self.conn.our_state is h11.IDLE
+            and now - self.waits_since_s >= MIN_IDLE_S
+            and not self.conn.trailing_data[0]
+            and client.is_connection_idle(self.sock)
+        )
+
+
 class Ingress:
-    """Serves callers' connections.
+    """Serves callers' connections, with explicit `start` and `close`.
 
     ``handler(request, reply)`` is called for each `RawRequest`;
     ``get_limits()`` returns the `catalog.CallerLimits` in force;
@@ -132,33 +154,70 @@
         self.is_stopping = False
         self.in_flight = 0
         self.connections = {}
+        self.listener = None
+        self.accepting = None
+
+    async def start(self, listener):
+        """Accept connections on a listening socket."""
+        self.listener = listener
+        self.accepting = await curio.spawn(self._accept, daemon=True)
+
+    async def close(self):
+        """Accept no more connections; idempotent.
+
+        Those that the system has accepted already are served, as their
+        callers may have sent a request.  There is no pause between the last
+        of them and the end of the listening socket.
+        """
+        if self.listener is None:
+            return
+        listener, self.listener = self.listener, None
+        await self.accepting.cancel()
+        while True:
+            try:
+                accepted, _ = listener._socket.accept()
+            except BlockingIOError:
+                break
+            except OSError as exc:
+                logs.warning('accept_failed', error=repr(exc))
+                break
+            await self.start_connection(curio.io.Socket(accepted))
+        await listener.close()
 
-    async def serve(self, sock):
+    async def _accept(self):
         """Accept connections until the task is cancelled."""
-        async with sock:
-            while True:
-                try:
-                    accepted, _ = await sock.accept()
-                except OSError as exc:
-                    logs.warning('accept_failed', error=repr(exc))
-                    await curio.sleep(0.05)
-                    continue
-                client.set_socket_options(accepted)
-                await curio.spawn(
-                    self._serve_connection, accepted, daemon=True
-                )
-
-    async def _serve_connection(self, sock):
-        task = await curio.current_task()
+        listener = self.listener
+        while True:
+            try:
+                accepted, _ = await listener.accept()
+            except OSError as exc:
+                logs.warning('accept_failed', error=repr(exc))
+                await curio.sleep(ACCEPT_RETRY_S)
+                continue
+            await self.start_connection(accepted)
+
+    async def start_connection(self, sock):
+        """Serve a caller's connection until it ends."""
+        client.set_socket_options(sock)
         conn = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=self.get_limits().max_head_bytes,
         )
-        self.connections[task] = sock, conn
+        connection = Connection(sock, conn, time.monotonic())
+        task = await curio.spawn(
+            self._serve_connection, connection, daemon=True
+        )
+        # Counted before its task runs, so that a stop waits for it.
+        self.connections[task] = connection
+
+    async def _serve_connection(self, connection):
+        task = await curio.current_task()
+        sock, conn = connection.sock, connection.conn
         try:
             async with sock:
                 while await self._serve_request(task, sock, conn):
                     conn.start_next_cycle()
+                    connection.waits_since_s = time.monotonic()
         except OSError as exc:
             logs.debug('connection_ended', error=repr(exc))
         except Exception as exc:
@@ -271,13 +330,12 @@
         """Close the connections on which no request is being served.
 
         One that has received bytes is not idle: a request may be in them.
+        Nor is one that waits since less than `MIN_IDLE_S`: its caller may
+        just be sending.
         """
-        for task, (sock, conn) in list(self.connections.items()):
-            if (
-                conn.our_state is h11.IDLE
-                and not conn.trailing_data[0]
-                and client.is_connection_idle(sock)
-            ):
+        now = time.monotonic()
+        for task, connection in list(self.connections.items()):
+            if connection.is_idle(now):
                 await task.cancel(blocking=False)
 
 
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -10,6 +10,7 @@
 import curio.io
 
 from mangorock import catalog
+from mangorock import front
 from mangorock import ingress
 from mangorock import placement
 from tests import fleet
@@ -202,20 +203,24 @@
         curio.run(self.check_expiry)
 
     async def check_expiry(self):
-        ours, theirs = socket.socketpair()
+        with socket.create_server(('127.0.0.1', 0)) as server:
+            theirs = socket.create_connection(server.getsockname())
+            ours, _ = server.accept()
         served = []
 
         async def serve(request, reply):
             served.append(request.target)
             await reply.respond(200, [], b'')
 
-        front = ingress.Ingress(
+        receiver = ingress.Ingress(
             serve,
             lambda: catalog.CallerLimits(idle_timeout_s=0.05),
             lambda error: (error.status, [], b''),
         )
         sock = LateSocket(ours, theirs)
-        await front._serve_connection(sock)
+        await receiver.start_connection(sock)
+        await fleet.wait_until(lambda: served or not receiver.connections)
+        await curio.sleep(0.05)
         theirs.setblocking(False)
         self.assertEqual(['/late/'], served)
         self.assertIn(b'200', theirs.recv(4096))
@@ -268,6 +273,62 @@
             await cluster.client.discard(exchange)
 
 
+class EndOfStop(unittest.TestCase):
+    """Callers that connect just as a planned stop ends."""
+
+    @test_front.run
+    async def test_request_that_came_as_the_stop_ended_is_answered(self):
+        # Its connection was accepted after the check that none is left.
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        async with fleet.Fleet(worker) as cluster:
+            with mock.patch.object(front, 'CLOSE_IDLE_AFTER_S', 0.0):
+                caller = send_without_waiting(cluster)
+                await cluster.front.stop()
+            # The process ends here.
+            self.assertEqual(1, len(worker.received))
+            self.assertFalse(cluster.front.ingress.connections)
+            async with curio.timeout_after(1.0):
+                answer = await caller.recv(4096)
+            await caller.close()
+        self.assertIn(b'200', answer.partition(b'\r\n')[0])
+
+    @test_front.run
+    async def test_no_connection_is_accepted_after_the_last_check(self):
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        async with fleet.Fleet(worker) as cluster:
+            with mock.patch.object(front, 'CLOSE_IDLE_AFTER_S', 0.0):
+                self.assertTrue(await cluster.front.stop())
+            with self.assertRaises(ConnectionRefusedError):
+                await cluster.open()
+
+    @test_front.run
+    async def test_connection_that_is_still_to_send_is_not_closed(self):
+        # It was taken for idle, although its caller had only just connected.
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        async with fleet.Fleet(worker) as cluster:
+            exchange = await cluster.open()
+            ingress_ = cluster.front.ingress
+            await fleet.wait_until(lambda: ingress_.connections)
+            await ingress_.close_idle_connections()
+            await curio.sleep(0.02)
+            await exchange.send(
+                'GET', '/look/', cluster.request_headers(), b''
+            )
+            self.assertEqual(b'done', await exchange.read())
+            await cluster.client.discard(exchange)
+
+
+def send_without_waiting(cluster):
+    """Connect to the front and send a request, while no task runs."""
+    caller = socket.create_connection(cluster.settings.caller_address)
+    caller.sendall(
+        b'GET /look/ HTTP/1.1\r\nhost: %s\r\n'
+        b'x-request-id: late\r\nx-deadline-ms: 900\r\n\r\n'
+        % fleet.HOST.encode()
+    )
+    return curio.io.Socket(caller)
+
+
 class LateSocket(curio.io.Socket):
     """A socket that receives a request just as its reader gives up."""
 
