Count the prefill that a resumption needs before a stream is given up

Callers saw a begun stream reset: its server was silent, the one retry that was left paid for the resumption, and none was left for the prefill that it needed; four attempts failed within 16 ms.

Cause: the check whether a silent stream can be continued looked at the price of the resumption alone.

Change: the generation offers a replacement only if the retry budget covers all of it and the prompt may be prefilled once more.

--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -341,6 +341,20 @@
             self._make_demand(), servers, time.monotonic()
         )
 
+    def _place_replacement(self, servers):
+        """Return a placement for which the retry budget suffices, or None.
+
+        Another prefill of the prompt is a retry of its own.
+        """
+        placed = self._place_on(servers)
+        if placed is None or placed.prefill is None:
+            return placed
+        if self.prefill_attempts >= MAX_PREFILL_ATTEMPTS:
+            return None
+        retries = 2 if self.prefill_attempts else 1
+        balance = self.gateway.retry_budget.balance
+        return placed if balance >= retries else None
+
     def _make_demand(self):
         route = self.context.route
         return placement.Demand(
@@ -520,7 +534,7 @@
             max(least_s, FIRST_EVENT_TARGET_FACTOR * route.target_s),
             max(least_s, MAX_GAP_FACTOR * route.max_gap_s),
             lambda: self.gateway.can_replace(
-                self.context, server, self._place_on
+                self.context, server, self._place_replacement
             ),
         )
 
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -47,13 +47,13 @@
     return config
 
 
-async def read_stream(cluster):
+async def read_stream(cluster, *prompt_headers):
     """Return the number of events that a caller of the route gets."""
     _, body = await cluster.request(
         'POST',
         '/read/',
         ('x-deadline-ms', '6000'),
-        *fleet.prompt_headers(),
+        *(prompt_headers or fleet.prompt_headers()),
         body=b'q',
     )
     return body.count(b'data: ')
@@ -98,6 +98,26 @@
             self.assertEqual(4, await stream.join())
         self.assertEqual(1, sum_received(servers))
 
+    @test_front.run
+    async def test_silent_stream_is_kept_if_prefill_costs_too_much(self):
+        # The resumption was paid for, but not the prefill that it needs.
+        def prefill(request):
+            body = b'{"handle":"h1","tokens":9}'
+            return workers.whole_response(request, body)
+
+        servers = [
+            workers.Worker('p1', 'llm', prefill, stage='prefill'),
+            workers.Worker('d1', 'llm', be_silent_after(2), stage='decode'),
+            workers.Worker('d2', 'llm', be_silent_after(2), stage='decode'),
+        ]
+        long_prompt = fleet.prompt_headers(9000, 'doc:7000,own:2900')
+        async with fleet.Fleet(*servers, config=make_config()) as cluster:
+            budget = cluster.front.gateway.retry_budget
+            budget.balance, budget.share = 1.0, 0.0
+            events = await read_stream(cluster, *long_prompt)
+        self.assertEqual(4, events)
+        self.assertEqual(1, sum_received(servers[1:]))
+
     @test_front.run
     async def test_silent_stream_is_resumed_where_there_is_room(self):
         servers = [
