Answer failures that are not the caller's in the product's own daemon too

Callers of the product's own interface saw their connection closed without an answer, and the log said that they had gone.

Change: only an OSError of a write to the caller is the caller's. Result: the tests of test_unanswered.OwnFailures pass.

--- a/src/mangorock/daemon.py
+++ b/src/mangorock/daemon.py
@@ -55,11 +55,12 @@
     except streams.CallerGone:
         outcome = 'caller_gone'
         env.metrics.add('caller_gone')
-    except OSError:
-        # The caller's connection failed while the response was being sent.
-        outcome = 'caller_gone'
-        env.metrics.add('caller_gone')
     except Exception as exc:
+        if isinstance(exc, OSError) and responder.is_broken:
+            # The caller's connection failed while the response was sent.
+            outcome = 'caller_gone'
+            env.metrics.add('caller_gone')
+            return
         outcome = 'internal'
         logs.warning('request_failed', path=request.path, error=repr(exc))
         error = errors.Internal(
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -10,7 +10,9 @@
 import curio.io
 
 from mangorock import catalog
+from mangorock import daemon
 from mangorock import front
+from mangorock import http
 from mangorock import ingress
 from mangorock import placement
 from tests import fleet
@@ -189,6 +191,18 @@
                 )
         self.assertEqual(500, exchange.status)
 
+    def test_error_that_is_not_the_callers_is_answered_by_the_daemon(self):
+        # As the one before, in the product's own daemon.
+        def fail():
+            raise OSError('no descriptors left')
+
+        env = mock.Mock(in_flight=0, is_stopping=False, check_ready=fail)
+        responder = mock.Mock(is_started=False, is_broken=False)
+        responder.respond = mock.AsyncMock()
+        request = http.Request('POST', '/v1/completions', {}, b'')
+        curio.run(daemon.handle_request, env, request, responder)
+        self.assertEqual(500, responder.respond.call_args.args[0])
+
     @test_front.run
     async def test_head_that_cannot_be_written_is_answered(self):
         # The answer counted as begun before its head was accepted.
