Log the shared parts of prompts whose attempts failed

A crash of an engine ends all its streams, so the log named thirty failed requests and nothing that they had in common. Each attempt_failed line now names the parts of its prompt that other requests may share, cut at 200 characters as callers choose them.

--- a/src/mangorock/accounting.py
+++ b/src/mangorock/accounting.py
@@ -12,6 +12,11 @@
 
 from mangorock import ingress
 from mangorock import logs
+from mangorock import sending
+
+
+# The callers choose the parts of their prompts.
+MAX_LOGGED_CHARS = 200
 
 
 @attrs.frozen
@@ -87,3 +92,38 @@
         'sends': context.sends,
         'servers': context.server_ids,
     }
+
+
+def log_attempt(gateway, context, server, outcome):
+    """Log an attempt that ended without an answer.
+
+    ``parts`` are the parts of its prompt that other requests may share.
+    """
+    if isinstance(outcome, (sending.Whole, sending.Streamed)):
+        return
+    prompt = context.request.prompt
+    shared = prompt.parts[:-1] if prompt is not None else ()
+    logs.event(
+        'attempt_failed',
+        request=context.request.request_id,
+        server=server.server_id,
+        outcome=type(outcome).__name__,
+        error=getattr(outcome, 'error', ''),
+        send=context.sends,
+        left_s=context.left_s,
+        budget=gateway.retry_budget.balance,
+        parts=','.join(part.part_id for part in shared)[:MAX_LOGGED_CHARS],
+    )
+
+
+def log_assignment(context, assignment):
+    """Log where the shared scheduler placed a prompt."""
+    logs.event(
+        'prompt_assigned',
+        request=context.request.request_id,
+        decode=assignment.decode,
+        prefill=assignment.prefill,
+        fetch_from=assignment.fetch_from,
+        tokens=assignment.tokens,
+        expected_s=assignment.expected_s,
+    )
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -289,7 +289,7 @@
                 outcome = await self._attempt_plain(context, server)
             finally:
                 await self.notify_first_waiter(context.service)
-            self.log_attempt(context, server, outcome)
+            accounting.log_attempt(self, context, server, outcome)
             match outcome:
                 case sending.Whole(answer, body):
                     if not self.should_retry(context, answer):
@@ -356,33 +356,6 @@
         await context.reply.respond(answer.status, answer.headers, body)
         return 'whole' if answer.is_success else f'status_{answer.status}'
 
-    def log_attempt(self, context, server, outcome):
-        """Log an attempt that ended without an answer."""
-        if isinstance(outcome, (sending.Whole, sending.Streamed)):
-            return
-        logs.event(
-            'attempt_failed',
-            request=context.request.request_id,
-            server=server.server_id,
-            outcome=type(outcome).__name__,
-            error=getattr(outcome, 'error', ''),
-            send=context.sends,
-            left_s=context.left_s,
-            budget=self.retry_budget.balance,
-        )
-
-    def log_assignment(self, context, assignment):
-        """Log where the shared scheduler placed a prompt."""
-        logs.event(
-            'prompt_assigned',
-            request=context.request.request_id,
-            decode=assignment.decode,
-            prefill=assignment.prefill,
-            fetch_from=assignment.fetch_from,
-            tokens=assignment.tokens,
-            expected_s=assignment.expected_s,
-        )
-
     def prepare_retry(self, context, server, outcome):
         """Count a retry, or raise the error that ends the request.
 
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -13,6 +13,7 @@
 import curio
 import curio.errors
 
+from mangorock import accounting
 from mangorock import events
 from mangorock import logs
 from mangorock import messages
@@ -94,12 +95,8 @@
         ``on_first_event(answer)`` is called once, for the first of them, and
         ``on_pace(server, events, seconds)`` at times for some of them.
         """
-        self.placer, self.server, self.on_first_event, self.on_pace = (
-            placer,
-            server,
-            on_first_event,
-            on_pace,
-        )
+        self.placer, self.server = placer, server
+        self.on_first_event, self.on_pace = on_first_event, on_pace
         self.last_event_at_s = 0.0
         self.paced_events = self.splitter.event_count
 
@@ -172,7 +169,7 @@
             finally:
                 self._notify_scheduler(messages.NOT_PREFILLED)
                 await gateway.notify_first_waiter(context.service)
-            gateway.log_attempt(context, placed.decode, outcome)
+            accounting.log_attempt(gateway, context, placed.decode, outcome)
             match outcome:
                 case sending.Streamed(answer):
                     await self.relay.end(answer)
@@ -273,7 +270,7 @@
         usable = {s.server_id: s for s in gateway.eligible_servers(context)}
         decode = usable.get(assignment.decode)
         prefill = usable.get(assignment.prefill)
-        gateway.log_assignment(context, assignment)
+        accounting.log_assignment(context, assignment)
         if decode is None or (assignment.prefill and prefill is None):
             self._notify_scheduler(messages.NOT_PREFILLED)
             return None
@@ -440,7 +437,7 @@
             case sending.Whole(answer, body) if answer.is_success:
                 return gateway.wire.decode_handle(server.address, body)
         context.tried.add(server.incarnation)
-        gateway.log_attempt(context, server, outcome)
+        accounting.log_attempt(gateway, context, server, outcome)
         if not isinstance(outcome, sending.Refused):
             self._notify_scheduler(
                 messages.NOT_PREFILLED, failed=server.server_id
