--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -6,6 +6,7 @@
 
 import base64
 import pathlib
+import socket
 import sys
 import types
 import urllib.parse
@@ -296,6 +297,15 @@
         return exchange, data
 
 
+def shut_down(sock):
+    """Shut down a socket that another task reads, if it is still open."""
+    try:
+        with sock.blocking() as raw:
+            raw.shutdown(socket.SHUT_RDWR)
+    except (OSError, ValueError):
+        return
+
+
 async def wait_until(condition, seconds=2.0):
     """Wait until ``condition()`` is true.
 
