Refuse prompts with a part that crashes engines

A request whose prompt holds such a part crashed the engine that began its answer, was resumed, and crashed the next; nothing related the crashes to what the engines were working on, so every further request did the same.

Each VM now reports to all others which parts were in progress when an engine ended its answers and refuses connections. A part that was in progress in three crashes, of different prompts and without a complete answer since, explains them: it is refused on all VMs, at the receipt of a request, while it waits and before each send. The decision goes by datagram and to the store, so that VMs that start later have it. Engines that are lost together count once, answered parts are told to all VMs, and of a prompt's parts the later one is taken, so that sound requests with the same first part are served on.

The code that reads the register of backend servers moves from the front, and the replies from consultation, to modules of their own, as both were too long.

--- a/src/mangorock/accounting.py
+++ b/src/mangorock/accounting.py
@@ -94,11 +94,13 @@
     }
 
 
-def log_attempt(gateway, context, server, outcome):
-    """Log an attempt that ended without an answer.
+async def record_attempt(gateway, context, server, outcome):
+    """Log an attempt that ended without an answer; note it as evidence.
 
     ``parts`` are the parts of its prompt that other requests may share.
     """
+    if gateway.isolation is not None:
+        await gateway.isolation.on_attempt(context, server, outcome)
     if isinstance(outcome, (sending.Whole, sending.Streamed)):
         return
     prompt = context.request.prompt
--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -26,6 +26,7 @@
 from mangorock import membership
 from mangorock import messages
 from mangorock import registry
+from mangorock import replies
 
 # Ten round trips between failure domains, and less than the prefill of a
 # prompt.
@@ -158,7 +159,8 @@
     the local `scheduler.Scheduler` of a service, or None if it has no known
     engine.  ``servers(service)`` returns the servers that may be used, and
     ``pause(server_id, seconds)`` stops the use of one.
-    ``on_stage_request(service, server_id, stage)`` is set after construction.
+    ``on_stage_request(service, server_id, stage)`` and the coroutine
+    ``on_part_message(message)`` are set after construction.
     """
 
     def __init__(self, directory, schedulers, servers, pause):
@@ -167,6 +169,7 @@
         self.servers = servers
         self.pause = pause
         self.on_stage_request = None
+        self.on_part_message = None
         self.request_numbers = itertools.count(1)
         self.pending_replies = {}
         self.waiting_services = set()
@@ -201,7 +204,7 @@
         service = request.service
         peer = self.directory.scheduler_of(service, time.monotonic())
         number = next(self.request_numbers)
-        pending = self.pending_replies[number] = PendingReply()
+        pending = self.pending_replies[number] = replies.PendingReply()
         try:
             if peer is None:
                 answer = await self._ask_here(request, pending)
@@ -282,9 +285,12 @@
     def announce_away(self, service, server_id, seconds):
         """Tell all VMs to send nothing to an engine for some seconds."""
         self.pause(server_id, seconds)
-        pause = messages.EnginePause(service, server_id, seconds)
+        self.broadcast(messages.EnginePause(service, server_id, seconds))
+
+    def broadcast(self, message):
+        """Send a message to all other VMs; it may be lost."""
         for peer in self.directory.all_peers:
-            self._send(0, pause, peer.address)
+            self._send(0, message, peer.address)
 
     def _send(self, number, message, address):
         try:
@@ -320,7 +326,7 @@
         match message:
             case messages.PlacementRequest():
                 answer = await self._place(
-                    message, RemoteReply(number, sender)
+                    message, replies.RemoteReply(number, sender)
                 )
                 if answer is not None:
                     self._send(number, answer, sender)
@@ -333,6 +339,12 @@
                 self.on_stage_request(message.service, message.server, stage)
             case messages.EnginePause():
                 self.pause(message.server, message.seconds)
+            case (
+                messages.CrashReport()
+                | messages.PartsServed()
+                | messages.PartQuarantined()
+            ):
+                await self.on_part_message(message)
             case _:
                 pending = self.pending_replies.get(number)
                 if pending is not None:
@@ -383,9 +395,9 @@
     async def _deliver(self, answers):
         for prompt, message in answers:
             match prompt.reply:
-                case RemoteReply(number, address):
+                case replies.RemoteReply(number, address):
                     self._send(number, message, address)
-                case PendingReply():
+                case replies.PendingReply():
                     await prompt.reply.put(message)
 
     def _record_pace(self, pace):
@@ -399,36 +411,3 @@
         if found is not None:
             servers = self.servers(outcome.service)
             found.record_outcome(outcome, servers, time.monotonic())
-
-
-@attrs.frozen
-class RemoteReply:
-    """Where the answer to another VM's request goes."""
-
-    number: int
-    address: tuple
-
-
-@attrs.define(eq=False)
-class PendingReply:
-    """The answer that a request of this VM waits for."""
-
-    event: curio.Event = attrs.field(factory=curio.Event)
-    message: object = None
-
-    async def put(self, message):
-        """Pass an answer on; a late `Queued` does not replace another."""
-        if self.message is None or not isinstance(message, messages.Queued):
-            self.message = message
-            await self.event.set()
-
-    async def take(self, seconds=None):
-        """Return the next answer, or None after ``seconds``."""
-        if seconds is None:
-            await self.event.wait()
-        else:
-            async with curio.ignore_after(seconds):
-                await self.event.wait()
-        self.event.clear()
-        message, self.message = self.message, None
-        return message
--- a/src/mangorock/errors.py
+++ b/src/mangorock/errors.py
@@ -31,6 +31,7 @@
     NO_BACKEND = 'no_backend'
     BACKEND_REFUSED = 'backend_refused'
     BACKEND_BROKEN = 'backend_broken'
+    QUARANTINED = 'quarantined'
     CLAIM_UNAVAILABLE = 'claim_unavailable'
     CLAIM_IN_FLIGHT = 'claim_in_flight'
     SHUTTING_DOWN = 'shutting_down'
@@ -156,6 +157,13 @@
     run = Run.UNKNOWN
 
 
+class Quarantined(MangorockError):
+    """A part of the prompt crashes engines and is not sent to any."""
+
+    reason = Reason.QUARANTINED
+    status = 503
+
+
 class ClaimUnavailable(MangorockError):
     """The idempotency key could not be recorded."""
 
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -15,11 +15,13 @@
 
 from mangorock import client as clients
 from mangorock import consultation
+from mangorock import discovery
 from mangorock import errors
 from mangorock import exposition
 from mangorock import gateway as gateways
 from mangorock import http
 from mangorock import ingress as ingresses
+from mangorock import isolation
 from mangorock import logs
 from mangorock import mirror
 from mangorock import presence
@@ -145,24 +147,23 @@
             )
         store = self.platform.make_store(settings.store_address, self.client)
         self.store = store
-        await self.spawn(
-            mirror.follow,
-            self.config_mirror,
-            store,
-            self._apply_config,
-            self._apply_config,
-            self.rng,
-            settings.watch_wait_s,
+        await self._follow(
+            self.config_mirror, self._apply_config, self._apply_config
         )
-        await self.spawn(
-            mirror.follow,
-            self.servers_mirror,
-            store,
-            self._replace_servers,
-            self._apply_server_changes,
-            self.rng,
-            settings.watch_wait_s,
+        servers = discovery.Discovery(
+            self.servers_mirror, self.gateway.registry, self.platform
+        )
+        await self._follow(
+            self.servers_mirror, servers.on_listing, servers.on_events
+        )
+        isolated = isolation.Isolation(self.gateway, store)
+        self.gateway.isolation = isolated
+        await self._follow(
+            mirror.Mirror(isolation.PREFIX),
+            isolated.on_listing,
+            isolated.on_events,
         )
+        await self.spawn(isolated.run)
         await self._start_vm_discovery(store)
         await self.spawn(self._prune)
         logs.event(
@@ -171,6 +172,17 @@
             failure_domain=settings.failure_domain,
         )
 
+    async def _follow(self, followed, on_listing, on_events):
+        await self.spawn(
+            mirror.follow,
+            followed,
+            self.store,
+            on_listing,
+            on_events,
+            self.rng,
+            self.settings.watch_wait_s,
+        )
+
     async def _start_vm_discovery(self, store):
         """Announce this VM to the others and follow the list of VMs."""
         settings = self.settings
@@ -190,7 +202,9 @@
                 self.gateway.healthy_servers,
                 self.gateway.pause,
             )
-            await self.gateway.scheduler_endpoint.start(settings.peer_address)
+            endpoint = self.gateway.scheduler_endpoint
+            endpoint.on_part_message = self.gateway.isolation.on_message
+            await endpoint.start(settings.peer_address)
             await self._start_staging(store)
         await self.spawn(
             presence.announce, store, settings.vm, value, self.rng
@@ -253,42 +267,6 @@
             if is_newer:
                 self.gateway.catalog = newer
 
-    def _replace_servers(self, items):
-        found = filter(None, map(self.platform.decode_server, items))
-        registry, now = self.gateway.registry, time.monotonic()
-        registry.replace(list(found), now)
-        registry.last_contact_s = now
-        logs.event(
-            'servers_listed',
-            servers=len(self.gateway.registry.servers),
-            revision=self.servers_mirror.revision,
-        )
-
-    def _apply_server_changes(self, events):
-        registry, now = self.gateway.registry, time.monotonic()
-        registry.last_contact_s = now
-        for event in events:
-            match event:
-                case mirror.Item():
-                    server = self.platform.decode_server(event)
-                    if server is not None and registry.put(server):
-                        logs.event(
-                            'server_changed',
-                            server=server.server_id,
-                            service=server.service,
-                            is_draining=server.is_draining,
-                            stage=server.stage and server.stage.value,
-                            revision=event.revision,
-                        )
-                case mirror.Removal():
-                    server_id = self.platform.server_id(event.key)
-                    registry.remove(server_id, now)
-                    logs.event(
-                        'server_lapsed',
-                        server=server_id,
-                        revision=event.revision,
-                    )
-
     def reload(self, load_settings):
         """Apply a changed settings file; an invalid one changes nothing.
 
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -22,6 +22,7 @@
 from mangorock import metrics as metrics_module
 from mangorock import outliers as outliers_module
 from mangorock import placement
+from mangorock import quarantine as quarantines
 from mangorock import refusals
 from mangorock import registry as registries
 from mangorock import scheduler
@@ -66,6 +67,7 @@
     unsent_attempts: int = 0
     may_have_run: bool = False
     placed_at_s: float = 0.0
+    sent_at_s: float = 0.0
     prompt_read_at_s: float = 0.0
     first_event_at_s: float = 0.0
     server_ids: str = ''
@@ -125,6 +127,10 @@
     sender: sending.Sender = attrs.field(init=False)
     schedulers: dict = attrs.field(factory=dict)
     scheduler_endpoint: object = None
+    quarantine: quarantines.Quarantine = attrs.field(
+        factory=quarantines.Quarantine
+    )
+    isolation: object = None
     stops_at_s: float | None = None
 
     def __attrs_post_init__(self):
@@ -204,6 +210,7 @@
                 retry_after_s=STOP_RETRY_AFTER_S,
             )
         context = RequestContext(request, route, reply, deadline_s)
+        self.check_quarantine(context)
         context.service = route.pick_service(self.rng.random())
         self.retry_budget.earn()
         return context
@@ -218,6 +225,18 @@
             case _:
                 return await self._serve_plain(context, service)
 
+    def check_quarantine(self, context):
+        """Raise `errors.Quarantined` if the prompt must not reach an engine.
+
+        A part may be recognised while requests with it wait, so that this is
+        checked again before each send.
+        """
+        now = time.monotonic()
+        part_id = self.quarantine.find(context.request.prompt, now)
+        if part_id is not None:
+            left_s = self.quarantine.left_s(part_id, now)
+            raise refusals.quarantined(context, part_id, left_s)
+
     def retry_after_s(self):
         """Return a random Retry-After value, in seconds."""
         return self.rng.uniform(*RETRY_AFTER_RANGE_S)
@@ -289,7 +308,7 @@
                 outcome = await self._attempt_plain(context, server)
             finally:
                 await self.notify_first_waiter(context.service)
-            accounting.log_attempt(self, context, server, outcome)
+            await accounting.record_attempt(self, context, server, outcome)
             match outcome:
                 case sending.Whole(answer, body):
                     if not self.should_retry(context, answer):
@@ -330,6 +349,8 @@
 
     def make_dispatch(self, context, server, **options):
         """Return the `traffic.Dispatch` of this request to a server."""
+        self.check_quarantine(context)
+        context.sent_at_s = time.monotonic()
         return traffic.Dispatch(
             server, context.left_s, priority=context.route.priority, **options
         )
@@ -425,6 +446,7 @@
             if wait_s <= 0:
                 raise refusals.overloaded(context, self.retry_after_s())
             ticket.wakeup.clear()
+            self.check_quarantine(context)
             if queue.is_first(ticket.priority, ticket):
                 found = place()
                 if found is not None:
@@ -438,3 +460,9 @@
         first = queue and queue.first()
         if first:
             await first.wakeup.set()
+
+    async def wake_waiters(self):
+        """Wake all requests in the queues, as some may be refused now."""
+        for queue in self.wait_queues.values():
+            for ticket in list(queue.waiters):
+                await ticket.wakeup.set()
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -169,7 +169,9 @@
             finally:
                 self._notify_scheduler(messages.NOT_PREFILLED)
                 await gateway.notify_first_waiter(context.service)
-            accounting.log_attempt(gateway, context, placed.decode, outcome)
+            await accounting.record_attempt(
+                gateway, context, placed.decode, outcome
+            )
             match outcome:
                 case sending.Streamed(answer):
                     await self.relay.end(answer)
@@ -236,6 +238,7 @@
         event.
         """
         context, prompt = self.context, self.context.request.prompt
+        self.gateway.check_quarantine(context)
         route, now = context.route, time.monotonic()
         priority = route.priority
         target_at_s = context.request.received_s + route.target_s
@@ -437,7 +440,7 @@
             case sending.Whole(answer, body) if answer.is_success:
                 return gateway.wire.decode_handle(server.address, body)
         context.tried.add(server.incarnation)
-        accounting.log_attempt(gateway, context, server, outcome)
+        await accounting.record_attempt(gateway, context, server, outcome)
         if not isinstance(outcome, sending.Refused):
             self._notify_scheduler(
                 messages.NOT_PREFILLED, failed=server.server_id
--- a/src/mangorock/messages.py
+++ b/src/mangorock/messages.py
@@ -3,8 +3,10 @@
 A VM sends a `PlacementRequest` for each generation and gets an `Assignment`,
 a `Rejection`, or `Queued` and one of the others later.  `Outcome` reports
 what became of an assigned prompt.  `StageRequest` and `EnginePause` concern
-stage changes of engines.  Any VM may be of another build or faulty, so every
-field is validated: a message with a field that makes no sense is not created.
+stage changes of engines, `CrashReport`, `PartsServed` and `PartQuarantined`
+parts of prompts that crash engines.  Any VM may be of another build or
+faulty, so every field is validated: a message with a field that makes no sense
+is not created.
 """
 
 import math
@@ -21,6 +23,7 @@
 MAX_SECONDS = 1_000_000.0
 MAX_COUNT = 1_000_000
 MAX_PRIORITY = 1000
+MAX_UNIX_MS = 10**14
 
 _text = attrs.validators.and_(
     attrs.validators.instance_of(str), attrs.validators.max_len(400)
@@ -43,10 +46,22 @@
     return validate
 
 
+def _make_rows_validator(*validators):
+    def validate(instance, attribute, value):
+        for row in value:
+            if not isinstance(row, (list, tuple)):
+                raise ValueError(f'{attribute.name} has a row {row!r}')
+            for check, field in zip(validators, row, strict=True):
+                check(instance, attribute, field)
+
+    return validate
+
+
 _tokens = _make_number_validator(0, MAX_TOKENS)
 _seconds = _make_number_validator(-MAX_SECONDS, MAX_SECONDS)
 _positive_seconds = _make_number_validator(0.0, MAX_SECONDS)
 _count = _make_number_validator(0, MAX_COUNT)
+_milliseconds = _make_number_validator(0, MAX_UNIX_MS)
 _priority = _make_number_validator(RESUMED_PRIORITY, MAX_PRIORITY)
 
 
@@ -168,6 +183,42 @@
     seconds: float = attrs.field(validator=_positive_seconds)
 
 
+@attrs.frozen
+class CrashReport:
+    """An engine crashed ``age_s`` ago while requests were in progress.
+
+    A row of ``uses`` stands for a shared part of a request's prompt: its id,
+    the id of the prompt's last part, the part's index in the prompt and the
+    seconds between the send of the request and the crash.
+    """
+
+    server: str = attrs.field(validator=_text)
+    started_ms: int = attrs.field(validator=_milliseconds)
+    age_s: float = attrs.field(validator=_positive_seconds)
+    uses: tuple = attrs.field(
+        validator=_make_rows_validator(_text, _text, _count, _seconds),
+        converter=tuple,
+    )
+
+
+@attrs.frozen
+class PartsServed:
+    """Parts of prompts that were answered; a row has an id and an age."""
+
+    parts: tuple = attrs.field(
+        validator=_make_rows_validator(_text, _positive_seconds),
+        converter=tuple,
+    )
+
+
+@attrs.frozen
+class PartQuarantined:
+    """A part of prompts crashes engines and is refused for ``term_s``."""
+
+    part_id: str = attrs.field(validator=_text)
+    term_s: float = attrs.field(validator=_positive_seconds)
+
+
 KINDS = (
     PlacementRequest,
     Assignment,
@@ -177,4 +228,7 @@
     StageRequest,
     Outcome,
     StreamPace,
+    CrashReport,
+    PartsServed,
+    PartQuarantined,
 )
--- a/src/mangorock/refusals.py
+++ b/src/mangorock/refusals.py
@@ -66,6 +66,18 @@
     )
 
 
+def quarantined(context, part_id, retry_after_s):
+    """Return the error for a prompt with a part that crashes engines."""
+    return _if_not_run(
+        context,
+        errors.Quarantined(
+            f'engines crash on part {part_id!r} of the prompt; send the '
+            'request without it',
+            retry_after_s=retry_after_s,
+        ),
+    )
+
+
 def deadline_passed(context, retry_after_s):
     """Return the error for a request whose deadline has passed."""
     if not context.may_have_run:
