Tell the part that crashes engines from those beside it

A candidate that lacks different prompts now still competes, and no part is refused while it explains the crashes better, or while parts of unrelated prompts explain them as well. Answers that had gone on for 0.2 s are no evidence. A prompt that two engines in turn crashed on is refused for five seconds, so that its caller's repeat does not crash two more. Reports of crashes are sent twice, as datagrams get lost.

--- a/src/mangorock/evidence.py
+++ b/src/mangorock/evidence.py
@@ -13,7 +13,8 @@
   answered lately come last, and a part comes after a later part of the same
   prompts;
 - prompts that differ in their last part must have been in progress, so that
-  one prompt that is sent again and again does not count against the others.
+  one prompt that is sent again and again does not count against the others;
+- a request whose answer had gone on for a while is no evidence.
 
 `Evidence` is a state machine without sockets or clocks.  Its tables are
 bounded, because callers choose the ids of the parts.
@@ -21,6 +22,7 @@
 
 import collections
 import hashlib
+import math
 
 import attrs
 
@@ -33,6 +35,8 @@
 # must have been in progress.
 MIN_CRASHES = 3
 MIN_PROMPTS = 2
+# From this many engines on, a part is named although others explain as much.
+MAX_UNCLEAR_ENGINES = 5
 # Older crashes are forgotten, and older answers do not tell parts apart.
 EVIDENCE_S = 120.0
 SERVED_S = 300.0
@@ -40,7 +44,9 @@
 TOGETHER_S = 0.1
 # Interval at which an answered part is reported to other VMs again.
 REPORT_INTERVAL_S = 5.0
-NEVER_S = float('-inf')
+# An answer that has gone on for this long was not crashed on at its beginning.
+BEGUN_S = 0.2
+NEVER_S = -math.inf
 
 
 @attrs.frozen
@@ -90,10 +96,13 @@
 
     @property
     def suffices(self):
-        """Say whether there are enough crashes and prompts."""
-        return (
-            self.crashes >= MIN_CRASHES and len(self.prompt_ids) >= MIN_PROMPTS
-        )
+        """Say whether the crashes are enough, if prompts differ too."""
+        return self.crashes >= MIN_CRASHES
+
+    @property
+    def is_shared(self):
+        """Say whether different prompts have it, not one that is repeated."""
+        return len(self.prompt_ids) >= MIN_PROMPTS
 
 
 def key_of(part_id):
@@ -114,13 +123,19 @@
     return [key_of(part.part_id) for part in prompt.parts[:-1]]
 
 
+def prompt_id_of(prompt):
+    """Return the id of the part that belongs to the prompt alone, or ''."""
+    if prompt is None or not prompt.parts:
+        return ''
+    return key_of(prompt.parts[-1].part_id)
+
+
 def uses_of(prompt, begun_s):
     """Return the `PartUse` of each shared part of a prompt."""
-    parts = shared_parts(prompt)
-    prompt_id = key_of(prompt.parts[-1].part_id) if parts else ''
+    prompt_id = prompt_id_of(prompt)
     return [
         PartUse(part_id, prompt_id, position, begun_s)
-        for position, part_id in enumerate(parts)
+        for position, part_id in enumerate(shared_parts(prompt))
     ]
 
 
@@ -243,16 +258,21 @@
         Crashes with one of the parts in ``explaining`` are left out.
         """
         found = {}
-        for crash in sorted(self.crashes.values(), key=lambda c: c.at_s):
-            uses_by_part = crash.uses_by_part()
-            if any(part_id in explaining for part_id in uses_by_part):
-                continue
-            for part_id, uses in uses_by_part.items():
+        for crash in self._open_crashes(explaining):
+            for part_id, uses in crash.uses_by_part().items():
                 if crash.at_s > self.served.get(part_id, NEVER_S):
                     candidate = found.setdefault(part_id, Candidate(part_id))
                     self._count(candidate, crash, uses)
         return found
 
+    def _open_crashes(self, explaining):
+        """Yield the crashes without a part in ``explaining``, in order."""
+        for crash in sorted(self.crashes.values(), key=lambda c: c.at_s):
+            if not any(
+                use.part_id in explaining for use in crash.uses.values()
+            ):
+                yield crash
+
     def _count(self, candidate, crash, uses):
         """Count a crash against a candidate.
 
@@ -272,19 +292,45 @@
             candidate.last_counted_s = crash.at_s
 
     def choose(self, candidates, now):
-        """Return the candidate that explains the crashes best."""
+        """Return the candidate that explains the crashes, None if unclear.
 
-        def rank(candidate):
+        Between candidates of unrelated prompts that explain them equally, the
+        next crashes decide.
+        """
+
+        def weigh(candidate):
             served_s = self.served.get(candidate.part_id, NEVER_S)
-            return (
-                now - served_s > SERVED_S,
-                candidate.engines,
-                candidate.position,
-            )
+            return now - served_s > SERVED_S, candidate.engines
+
+        def rank(candidate):
+            return *weigh(candidate), candidate.position
 
         best = max(candidates, key=rank)
         narrower = [c for c in candidates if _is_narrower(c, best)]
-        return max(narrower, key=rank, default=best)
+        chosen = max(narrower, key=rank, default=best)
+        rivals = [
+            candidate
+            for candidate in candidates
+            if weigh(candidate) >= weigh(chosen)
+            and not candidate.prompt_ids >= chosen.prompt_ids
+        ]
+        if rivals and chosen.engines < MAX_UNCLEAR_ENGINES:
+            return None
+        return chosen if chosen.is_shared else None
+
+    def repeated_prompts(self, explaining):
+        """Return the prompts that two engines in turn crashed on.
+
+        The time of the last crash is by the id of the prompt.
+        """
+        last_s, found = {}, {}
+        for crash in self._open_crashes(explaining):
+            for use in crash.uses.values():
+                if use.begun_s > last_s.get(use.prompt_id, math.inf):
+                    found[use.prompt_id] = crash.at_s
+            for use in crash.uses.values():
+                last_s[use.prompt_id] = crash.at_s
+        return found
 
 
 def _is_narrower(candidate, other):
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -68,6 +68,7 @@
     may_have_run: bool = False
     placed_at_s: float = 0.0
     sent_at_s: float = 0.0
+    begun_at_s: float = 0.0
     prompt_read_at_s: float = 0.0
     first_event_at_s: float = 0.0
     server_ids: str = ''
@@ -231,11 +232,9 @@
         A part may be recognised while requests with it wait, so that this is
         checked again before each send.
         """
-        now = time.monotonic()
-        part_id = self.quarantine.find(context.request.prompt, now)
-        if part_id is not None:
-            left_s = self.quarantine.left_s(part_id, now)
-            raise refusals.quarantined(context, part_id, left_s)
+        found = self.quarantine.find(context.request.prompt, time.monotonic())
+        if found is not None:
+            raise refusals.quarantined(context, found.part_id, found.left_s)
 
     def retry_after_s(self):
         """Return a random Retry-After value, in seconds."""
@@ -350,7 +349,7 @@
     def make_dispatch(self, context, server, **options):
         """Return the `traffic.Dispatch` of this request to a server."""
         self.check_quarantine(context)
-        context.sent_at_s = time.monotonic()
+        context.sent_at_s, context.begun_at_s = time.monotonic(), 0.0
         return traffic.Dispatch(
             server, context.left_s, priority=context.route.priority, **options
         )
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -120,7 +120,7 @@
         if self.last_event_at_s:
             self.placer.on_gap(self.server, now - self.last_event_at_s, now)
         else:
-            self.paced_from_s = now
+            self.paced_from_s = self.context.begun_at_s = now
             self.on_first_event(answer)
         self.last_event_at_s = now
         if now - self.paced_from_s > PACE_INTERVAL_S:
--- a/src/mangorock/isolation.py
+++ b/src/mangorock/isolation.py
@@ -31,6 +31,7 @@
 PREFIX = 'mangorock/quarantine/'
 # Requests that a crash ended are noticed within this time of each other.
 GATHER_S = 0.03
+RESEND_DELAY_S = 0.05
 DECIDE_INTERVAL_S = 0.05
 EXPIRE_INTERVAL_S = 2.0
 # Answered parts are reported together.
@@ -83,8 +84,9 @@
                     logs.event('part_cleared', parts=','.join(cleared))
                     await self._report_served()
             case sending.Broken():
+                begun_at_s = context.begun_at_s or now
                 uses = evidence.uses_of(prompt, context.sent_at_s)
-                if uses:
+                if uses and now - begun_at_s < evidence.BEGUN_S:
                     await self._on_broken(server, uses, now)
 
     async def _on_broken(self, server, uses, now):
@@ -112,8 +114,11 @@
             parts=','.join(sorted({use.part_id for use in loss.uses})),
         )
         self.gateway.metrics.add('engine_crash_suspected')
-        self._share_crash(server, loss, now)
         await self._add_crash(server.incarnation, loss.at_s, loss.uses, now)
+        self._share_crash(server, loss)
+        # Datagrams get lost at times.
+        await curio.sleep(RESEND_DELAY_S)
+        self._share_crash(server, loss)
 
     async def _refuses_connections(self, server):
         client = self.gateway.client
@@ -127,7 +132,8 @@
         await client.release(exchange)
         return False
 
-    def _share_crash(self, server, loss, now):
+    def _share_crash(self, server, loss):
+        age_s = time.monotonic() - loss.at_s
         rows = [
             (
                 use.part_id,
@@ -142,7 +148,7 @@
                 messages.CrashReport(
                     server.server_id,
                     server.started_ms,
-                    now - loss.at_s,
+                    age_s,
                     rows[start : start + MAX_USE_ROWS],
                 )
             )
--- a/src/mangorock/quarantine.py
+++ b/src/mangorock/quarantine.py
@@ -3,8 +3,9 @@
 `Quarantine` is a state machine without sockets or clocks: `evidence` names
 the part that explains the crashes, and it is refused for a term, which is
 longer each time.  Crashes that a refused part explains count against no other
-part.  After its term a part is served again, and one crash suffices until a
-prompt with it has been answered.
+part.  A single prompt that two engines in turn crashed on is refused at once,
+for a short time.  After its term a part is served again, and one crash
+suffices until a prompt with it has been answered.
 
 Example::
 
@@ -22,7 +23,11 @@
 MAX_QUARANTINED_PARTS = 256
 # The reports of all VMs about a crash, and answers that clear a part, arrive
 # within this time.
-SETTLE_S = 0.25
+SETTLE_S = 0.15
+# Time for which a prompt is refused that two engines in turn crashed on, while
+# it is not known whether one of its parts is the cause.
+HOLD_S = 5.0
+MAX_HELD_PROMPTS = 256
 # First and longest time for which a part is refused.
 FIRST_TERM_S = 60.0
 MAX_TERM_S = 600.0
@@ -38,6 +43,14 @@
     prompts: int
 
 
+@attrs.frozen
+class Match:
+    """A part of a prompt that is refused for ``left_s`` more seconds."""
+
+    part_id: str
+    left_s: float
+
+
 @attrs.define
 class Term:
     """The time until which a part is refused.
@@ -54,23 +67,28 @@
 class Quarantine:
     """The refused parts, and the evidence for those to come.
 
-    ``sufficient_since_s`` has the candidates with enough evidence, and
-    ``last_terms_s`` the parts that were refused before.
+    ``sufficient_since_s`` has the candidates with enough evidence,
+    ``last_terms_s`` the parts that were refused before, and ``held_until_s``
+    single prompts, by the id of their last part.
     """
 
     evidence: evidences.Evidence = attrs.field(factory=evidences.Evidence)
     sufficient_since_s: dict = attrs.field(factory=dict)
     quarantined: dict = attrs.field(factory=dict)
     last_terms_s: dict = attrs.field(factory=dict)
+    held_until_s: dict = attrs.field(factory=dict)
 
     def find(self, prompt, now):
-        """Return the first refused part of a prompt, or None."""
-        if not self.quarantined:
+        """Return the `Match` of a prompt that is refused, or None."""
+        if not self.quarantined and not self.held_until_s:
             return None
         for part_id in evidences.shared_parts(prompt):
-            if self.left_s(part_id, now) > 0.0:
-                return part_id
-        return None
+            left_s = self.left_s(part_id, now)
+            if left_s > 0.0:
+                return Match(part_id, left_s)
+        prompt_id = evidences.prompt_id_of(prompt)
+        left_s = self.held_until_s.get(prompt_id, now) - now
+        return Match(prompt_id, left_s) if left_s > 0.0 else None
 
     def left_s(self, part_id, now):
         """Return for how long a part is still refused."""
@@ -98,6 +116,18 @@
         """Add what was in progress on an engine that crashed at ``at_s``."""
         self.evidence.add_crash(incarnation, at_s, uses, now)
         self._find_sufficient(now)
+        self._hold_prompts(now)
+
+    def _hold_prompts(self, now):
+        """Refuse the prompts that two engines in turn crashed on.
+
+        Their callers repeat them, and each engine counts.
+        """
+        crashed_s = self.evidence.repeated_prompts(self.quarantined)
+        for prompt_id, at_s in crashed_s.items():
+            self.held_until_s[prompt_id] = at_s + HOLD_S
+        while len(self.held_until_s) > MAX_HELD_PROMPTS:
+            del self.held_until_s[next(iter(self.held_until_s))]
 
     @property
     def is_deciding(self):
@@ -111,13 +141,22 @@
             candidates = self._find_sufficient(now)
             if not candidates:
                 return verdicts
-            chosen = self.evidence.choose(candidates, now)
-            since_s = self.sufficient_since_s[chosen.part_id]
-            is_known = chosen.part_id in self.last_terms_s
-            if not is_known and now - since_s < SETTLE_S:
+            chosen = self._choose(candidates, now)
+            if chosen is None:
                 return verdicts
             verdicts.append(self._condemn(chosen, now))
 
+    def _choose(self, candidates, now):
+        """Return the candidate to refuse now, or None."""
+        for candidate in candidates:
+            if candidate.part_id in self.last_terms_s:
+                return candidate
+        chosen = self.evidence.choose(candidates, now)
+        if chosen is None:
+            return None
+        since_s = self.sufficient_since_s[chosen.part_id]
+        return chosen if now - since_s >= SETTLE_S else None
+
     def _find_sufficient(self, now):
         """Return the candidates with enough evidence."""
         found = self.evidence.candidates(self.quarantined).values()
@@ -181,4 +220,9 @@
         for part_id in expired:
             self.lift(part_id)
         self.evidence.forget_old(now)
+        self.held_until_s = {
+            prompt_id: until_s
+            for prompt_id, until_s in self.held_until_s.items()
+            if now < until_s
+        }
         return expired
