--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -22,6 +22,7 @@
 from mangorock import metrics as metrics_module
 from mangorock import outliers as outliers_module
 from mangorock import placement
+from mangorock import quarantine as quarantines
 from mangorock import refusals
 from mangorock import registry as registries
 from mangorock import scheduler
@@ -64,6 +65,8 @@
     unsent_attempts: int = 0
     may_have_run: bool = False
     placed_at_s: float = 0.0
+    sent_at_s: float = 0.0
+    begun_at_s: float = 0.0
     prompt_read_at_s: float = 0.0
     first_event_at_s: float = 0.0
     server_ids: str = ''
@@ -123,6 +126,10 @@
     sender: sending.Sender = attrs.field(init=False)
     schedulers: dict = attrs.field(factory=dict)
     scheduler_endpoint: object = None
+    quarantine: quarantines.Quarantine = attrs.field(
+        factory=quarantines.Quarantine
+    )
+    isolation: object = None
     stops_at_s: float | None = None
 
     def __attrs_post_init__(self):
@@ -208,6 +215,7 @@
                 retry_after_s=STOP_RETRY_AFTER_S,
             )
         context = RequestContext(request, route, reply, deadline_s)
+        self.check_quarantine(context)
         context.service = route.pick_service(self.rng.random())
         self.retry_budget.earn()
         return context
@@ -222,6 +230,16 @@
             case _:
                 return await self._serve_plain(context, service)
 
+    def check_quarantine(self, context):
+        """Raise `errors.Quarantined` if the prompt must not reach an engine.
+
+        A part may be recognised while requests with it wait, so that this is
+        checked again before each send.
+        """
+        found = self.quarantine.find(context.request.prompt, time.monotonic())
+        if found is not None:
+            raise refusals.quarantined(context, found.part_id, found.left_s)
+
     def retry_after_s(self):
         """Return a random Retry-After value, in seconds."""
         return self.rng.uniform(*RETRY_AFTER_RANGE_S)
@@ -293,7 +311,7 @@
                 outcome = await self._attempt_plain(context, service, server)
             finally:
                 await self.notify_first_waiter(context.service)
-            self.log_attempt(context, server, outcome)
+            await accounting.record_attempt(self, context, server, outcome)
             match outcome:
                 case sending.Whole(answer, body):
                     if not self.should_retry(context, answer):
@@ -353,6 +371,8 @@
 
     def make_dispatch(self, context, server, **options):
         """Return the `traffic.Dispatch` of this request to a server."""
+        self.check_quarantine(context)
+        context.sent_at_s, context.begun_at_s = time.monotonic(), 0.0
         return traffic.Dispatch(
             server, context.left_s, priority=context.route.priority, **options
         )
@@ -379,33 +399,6 @@
         await context.reply.respond(answer.status, answer.headers, body)
         return 'whole' if answer.is_success else f'status_{answer.status}'
 
-    def log_attempt(self, context, server, outcome):
-        """Log an attempt that ended without an answer."""
-        if isinstance(outcome, (sending.Whole, sending.Streamed)):
-            return
-        logs.event(
-            'attempt_failed',
-            request=context.request.request_id,
-            server=server.server_id,
-            outcome=type(outcome).__name__,
-            error=getattr(outcome, 'error', ''),
-            send=context.sends,
-            left_s=context.left_s,
-            budget=self.retry_budget.balance,
-        )
-
-    def log_assignment(self, context, assignment):
-        """Log where the shared scheduler placed a prompt."""
-        logs.event(
-            'prompt_assigned',
-            request=context.request.request_id,
-            decode=assignment.decode,
-            prefill=assignment.prefill,
-            fetch_from=assignment.fetch_from,
-            tokens=assignment.tokens,
-            expected_s=assignment.expected_s,
-        )
-
     def prepare_retry(self, context, server, outcome):
         """Count a retry, or raise the error that ends the request.
 
@@ -472,6 +465,7 @@
             if wait_s <= 0:
                 raise refusals.overloaded(context, self.retry_after_s())
             ticket.wakeup.clear()
+            self.check_quarantine(context)
             if queue.is_first(ticket.priority, ticket):
                 found = place()
                 if found is not None:
@@ -485,3 +479,9 @@
         first = queue and queue.first()
         if first:
             await first.wakeup.set()
+
+    async def wake_waiters(self):
+        """Wake all requests in the queues, as some may be refused now."""
+        for queue in self.wait_queues.values():
+            for ticket in list(queue.waiters):
+                await ticket.wakeup.set()
