Split the gateway, the generation and the sender by job

No logic changes. The state of a request (context), the delivery of a stream's events (delivery), pending prompts (prefill), the limits on silence (silence) and the decision on retries (retries) are modules of their own; the limits and the retries are decisions apart from sockets.

--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -14,31 +14,25 @@
 
 from mangorock import accounting
 from mangorock import catalog as catalogs
+from mangorock import context as contexts
 from mangorock import errors
 from mangorock import generation
-from mangorock import ingress
 from mangorock import limits
 from mangorock import logs
-from mangorock import metrics as metrics_module
 from mangorock import outliers as outliers_module
 from mangorock import placement
 from mangorock import quarantine as quarantines
 from mangorock import refusals
 from mangorock import registry as registries
+from mangorock import retries
 from mangorock import scheduler
 from mangorock import sending
+from mangorock import silence
 from mangorock import traffic
 from mangorock import waiting
 
 # Requests per service that may wait for a server with a free slot.
 MAX_QUEUED_REQUESTS = 64
-# Fraction of the remaining time after which an attempt of a repeatable
-# request is given up, so that time is left for another one.
-ATTEMPT_TIMEOUT_FRACTION = 0.4
-MIN_ATTEMPT_TIMEOUT_S = 0.25
-# Retries after attempts that did not run on any server.  Those that sent
-# nothing cost no retry budget and need a limit of their own.
-MAX_NOT_RUN_RETRIES = 3
 # Range in seconds from which Retry-After is drawn, to spread the callers.
 RETRY_AFTER_RANGE_S = (0.8, 1.6)
 # Range of the factor on a known time until there is room.
@@ -51,52 +45,6 @@
 FLEET_RETRY_BURST = 40.0
 
 
-@attrs.define
-class RequestContext:
-    """The state of one request while it is served."""
-
-    request: object
-    route: catalogs.Route
-    reply: ingress.Reply
-    deadline_s: float
-    service: str = ''
-    tried: set = attrs.field(factory=set)
-    sends: int = 0
-    unsent_attempts: int = 0
-    may_have_run: bool = False
-    placed_at_s: float = 0.0
-    sent_at_s: float = 0.0
-    begun_at_s: float = 0.0
-    prompt_read_at_s: float = 0.0
-    first_event_at_s: float = 0.0
-    server_ids: str = ''
-
-    def record_outcome(self, outcome, may_have_run_before):
-        """Undo what was assumed of an attempt that turns out not to have run.
-
-        Every attempt counts as a send that may have run until its outcome
-        is known.
-        """
-        if isinstance(outcome, (sending.Unreachable, sending.Refused)):
-            self.may_have_run = may_have_run_before
-        if isinstance(outcome, sending.Unreachable):
-            self.sends -= 1
-
-    def record_placement(self, servers):
-        """Record when and on which servers the request was placed."""
-        self.placed_at_s = time.monotonic()
-        self.server_ids = '+'.join(server.server_id for server in servers)
-
-    def seconds_since_received(self, moment_s):
-        """Return the seconds from receipt to a moment, -1 if it is unset."""
-        return moment_s - self.request.received_s if moment_s else -1
-
-    @property
-    def left_s(self):
-        """Return the seconds until the deadline."""
-        return self.deadline_s - time.monotonic()
-
-
 @attrs.define
 class Gateway:
     """Serves requests and holds the state that they share.
@@ -214,7 +162,7 @@
                 'again, the load balancer will pick another VM',
                 retry_after_s=STOP_RETRY_AFTER_S,
             )
-        context = RequestContext(request, route, reply, deadline_s)
+        context = contexts.RequestContext(request, route, reply, deadline_s)
         self.check_quarantine(context)
         context.service = route.pick_service(self.rng.random())
         self.retry_budget.earn()
@@ -314,11 +262,11 @@
             await accounting.record_attempt(self, context, server, outcome)
             match outcome:
                 case sending.Whole(answer, body):
-                    if not self.should_retry(context, answer):
+                    if not retries.is_due(self, context, answer):
                         return await self.deliver(context, answer, body)
-                    self.prepare_retry(context, server, outcome)
+                    retries.prepare(self, context, server, outcome)
                 case _:
-                    self.prepare_retry(context, server, outcome)
+                    retries.prepare(self, context, server, outcome)
 
     def _place_eligible(self, context, service):
         servers = self.eligible_servers(context)
@@ -333,29 +281,18 @@
 
     async def _attempt_plain(self, context, service, server):
         dispatch = self.make_dispatch(context, server)
-        limits = self._silence_limits(context, service, server)
+        limits = silence.limits_of_call(
+            context,
+            lambda: self.can_replace(
+                context, server, lambda s: self._place_plain(service, s)
+            ),
+        )
         context.sends += 1
         may_have_run_before, context.may_have_run = context.may_have_run, True
         outcome = await self.sender.call(context.request, dispatch, limits)
         context.record_outcome(outcome, may_have_run_before)
         return outcome
 
-    def _silence_limits(self, context, service, server):
-        """Return when an attempt of a plain request is given up."""
-        route = context.route
-        if not route.is_repeatable or context.sends + 1 >= route.max_servers:
-            return sending.SilenceLimits(route.is_repeatable)
-        return sending.SilenceLimits(
-            True,
-            max(
-                MIN_ATTEMPT_TIMEOUT_S,
-                context.left_s * ATTEMPT_TIMEOUT_FRACTION,
-            ),
-            may_give_up=lambda: self.can_replace(
-                context, server, lambda s: self._place_plain(service, s)
-            ),
-        )
-
     def can_replace(self, context, server, place):
         """Say whether a silent server's request can go to another one.
 
@@ -377,16 +314,6 @@
             server, context.left_s, priority=context.route.priority, **options
         )
 
-    def should_retry(self, context, answer):
-        """Return whether a server error should be retried elsewhere."""
-        return (
-            answer.status >= 500
-            and context.route.is_repeatable
-            and context.sends < context.route.max_servers
-            and context.left_s > MIN_ATTEMPT_TIMEOUT_S
-            and self.retry_budget.balance >= 1.0
-        )
-
     async def deliver(self, context, answer, body):
         """Write a complete answer to the caller.
 
@@ -399,41 +326,6 @@
         await context.reply.respond(answer.status, answer.headers, body)
         return 'whole' if answer.is_success else f'status_{answer.status}'
 
-    def prepare_retry(self, context, server, outcome):
-        """Count a retry, or raise the error that ends the request.
-
-        Attempts that sent nothing may use the same server again and cost
-        no retry budget.
-        """
-        route = context.route
-        if not isinstance(outcome, sending.Unsent):
-            context.tried.add(server.incarnation)
-        match outcome:
-            case sending.Unreachable() | sending.Unsent():
-                context.unsent_attempts += 1
-                if context.unsent_attempts > MAX_NOT_RUN_RETRIES:
-                    raise refusals.no_backend(context, self.retry_after_s())
-                self.metrics.count_retry(metrics_module.RetryReason.CONNECT)
-                return
-            case sending.Refused():
-                if (
-                    context.sends > MAX_NOT_RUN_RETRIES
-                    or not self.retry_budget.spend()
-                ):
-                    raise refusals.backend_refused(
-                        context, self.retry_after_s()
-                    )
-                self.metrics.count_retry(metrics_module.RetryReason.REFUSED)
-            case _:
-                if (
-                    not route.is_repeatable
-                    or context.sends >= route.max_servers
-                ):
-                    raise refusals.backend_broken()
-                if not self.retry_budget.spend():
-                    raise refusals.backend_broken()
-                self.metrics.count_retry(metrics_module.RetryReason.BROKEN)
-
     async def wait_for_placement(self, context, place, wait=None):
         """Return the result of ``place()``, waiting while it is None.
 
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -14,132 +14,22 @@
 import curio.errors
 
 from mangorock import accounting
+from mangorock import delivery
 from mangorock import events
 from mangorock import logs
 from mangorock import messages
 from mangorock import metrics
 from mangorock import placement
+from mangorock import prefill
 from mangorock import refusals
+from mangorock import retries
 from mangorock import sending
+from mangorock import silence
 from mangorock import waiting
 
-# Silence after which a resumable stream is given up: a multiple of the target
-# latency before its first event, of the longest allowed pause after it, and
-# at least this share of the time after which the caller gives up.  A loaded
-# engine is slow but sound, and to start again elsewhere adds to the load.
-FIRST_EVENT_TARGET_FACTOR = 2.5
-MAX_GAP_FACTOR = 3.0
-SILENCE_SHARE = 0.5
-MIN_SILENCE_LIMIT_S = 0.6
 # Part of the time until the caller gives up that prefill leaves to decode.
 DECODE_RESERVE_S = 0.1
 MAX_PREFILL_ATTEMPTS = 2
-# Interval at which the pace of a stream is reported, in seconds.
-PACE_INTERVAL_S = 0.5
-
-
-@attrs.define
-class PendingPrompt:
-    """A prompt that an engine is processing.
-
-    It counts towards the load of the engine until `release` is called.
-    """
-
-    placer: object
-    server: object
-    tokens: int
-    cost_s: float | None = None
-    started_s: float = attrs.field(factory=time.monotonic)
-
-    def complete(self):
-        """Record that the prompt was processed; return the seconds taken."""
-        seconds = time.monotonic() - self.started_s
-        if self.tokens:
-            self.placer.on_prefilled(
-                self.server, self.tokens, seconds, self.cost_s
-            )
-        self.release()
-        return seconds
-
-    def __attrs_post_init__(self):
-        self.placer.add_backlog(self.server, self.tokens)
-
-    def release(self):
-        """Remove the prompt from the load, however it ended; idempotent."""
-        self.placer.add_backlog(self.server, -self.tokens)
-        self.tokens = 0
-
-
-@attrs.define
-class EventRelay:
-    """Writes the events of one answer to the caller.
-
-    The response head is that of the first server, even if another one
-    resumes the stream later.
-    """
-
-    context: object
-    reply: object
-    splitter: events.EventSplitter
-    is_caller_gone: bool = False
-    placer: object = None
-    server: object = None
-    on_first_event: object = None
-    last_event_at_s: float = 0.0
-    on_pace: object = None
-    paced_from_s: float = 0.0
-    paced_events: int = 0
-
-    def switch_server(self, placer, server, on_first_event, on_pace):
-        """Relay the events of another server from now on.
-
-        ``on_first_event(answer)`` is called once, for the first of them, and
-        ``on_pace(server, events, seconds)`` at times for some of them.
-        """
-        self.placer, self.server = placer, server
-        self.on_first_event, self.on_pace = on_first_event, on_pace
-        self.last_event_at_s = 0.0
-        self.paced_events = self.splitter.event_count
-
-    def report_pace(self):
-        """Report the events since the last report, if there are any."""
-        event_count = self.splitter.event_count - self.paced_events
-        if self.last_event_at_s and event_count > 1:
-            seconds = self.last_event_at_s - self.paced_from_s
-            self.on_pace(self.server, event_count, seconds)
-            # The last event reported is the first one of the next report.
-            self.paced_from_s = self.last_event_at_s
-            self.paced_events = self.splitter.event_count - 1
-
-    async def feed(self, answer, data):
-        """Write complete events to the caller.
-
-        The first event of a server shows that it has processed the prompt.
-        """
-        now = time.monotonic()
-        self.context.first_event_at_s = self.context.first_event_at_s or now
-        if self.last_event_at_s:
-            self.placer.on_gap(self.server, now - self.last_event_at_s, now)
-        else:
-            self.paced_from_s = self.context.begun_at_s = now
-            self.on_first_event(answer)
-        self.last_event_at_s = now
-        if now - self.paced_from_s > PACE_INTERVAL_S:
-            self.report_pace()
-        try:
-            if not self.reply.is_started:
-                await self.reply.start(answer.status, answer.headers, data)
-            else:
-                await self.reply.send(data)
-        except OSError:
-            self.is_caller_gone = True
-            raise
-
-    async def end(self, answer):
-        """End the answer, with an empty body if no event came."""
-        if not self.reply.is_started:
-            await self.reply.start(answer.status, answer.headers)
-        await self.reply.end()
 
 
 @attrs.define
@@ -147,16 +37,16 @@
     """Serves one generation over all its attempts.
 
     ``gateway`` is the `gateway.Gateway`, ``context`` the
-    `gateway.RequestContext`.  ``is_notice_due`` is set while the shared
+    `context.RequestContext`.  ``is_notice_due`` is set while the shared
     scheduler expects to hear what became of the prompt.
     """
 
     gateway: object
     context: object
     service: object
-    relay: EventRelay
+    relay: delivery.EventRelay
     prefill_attempts: int = 0
-    pending_prompt: PendingPrompt | None = None
+    pending_prompt: prefill.PendingPrompt | None = None
     is_notice_due: bool = False
 
     async def run(self):
@@ -181,7 +71,7 @@
                     if self._is_final(answer):
                         return await gateway.deliver(context, answer, body)
             self.relay.splitter.restart()
-            gateway.prepare_retry(context, placed.decode, outcome)
+            retries.prepare(gateway, context, placed.decode, outcome)
 
     async def _choose_placement(self):
         """Return a `placement.Placement`.
@@ -367,14 +257,14 @@
     def _is_final(self, answer):
         if self.relay.reply.is_started:
             return False
-        return not self.gateway.should_retry(self.context, answer)
+        return not retries.is_due(self.gateway, self.context, answer)
 
     async def _attempt(self, placed):
         """Prefill if the placement names a prefill engine, then decode."""
         handle = None
         placer = self.gateway.placer
         reader = placed.prefill or placed.decode
-        self.pending_prompt = PendingPrompt(
+        self.pending_prompt = prefill.PendingPrompt(
             placer, reader, placed.tokens, placed.cost_s
         )
         is_handle_used = False
@@ -455,7 +345,7 @@
         try:
             async with curio.timeout_after(wait_s):
                 outcome = await gateway.sender.call(
-                    context.request, dispatch, sending.SilenceLimits(True)
+                    context.request, dispatch, silence.SilenceLimits(True)
                 )
         except curio.errors.TaskTimeout:
             gateway.sender.record_failure(server)
@@ -490,7 +380,12 @@
             fetch_from=affinity_server.address if is_cached_elsewhere else '',
             resume_after=self.relay.splitter.last_id,
         )
-        limits = self._silence_limits(server)
+        limits = silence.limits_of_stream(
+            context,
+            lambda: gateway.can_replace(
+                context, server, self._place_replacement
+            ),
+        )
         context.sends += 1
         may_have_run_before, context.may_have_run = context.may_have_run, True
         outcome = await gateway.sender.stream(
@@ -519,29 +414,10 @@
         waited_s = time.monotonic() - waiting_since_s
         return min(self.context.left_s, caller_read_timeout_s - waited_s)
 
-    def _silence_limits(self, server):
-        route = self.context.route
-        can_resume = (
-            route.is_resumable and self.context.sends + 1 < route.max_servers
-        )
-        if not can_resume:
-            return sending.SilenceLimits(route.is_repeatable)
-        least_s = MIN_SILENCE_LIMIT_S
-        if route.caller_read_timeout_s is not None:
-            least_s = SILENCE_SHARE * route.caller_read_timeout_s
-        return sending.SilenceLimits(
-            True,
-            max(least_s, FIRST_EVENT_TARGET_FACTOR * route.target_s),
-            max(least_s, MAX_GAP_FACTOR * route.max_gap_s),
-            lambda: self.gateway.can_replace(
-                self.context, server, self._place_replacement
-            ),
-        )
-
 
 async def serve(gateway, context, service):
     """Serve a stream; return the result for the log."""
     splitter = events.EventSplitter(context.request.last_event_id)
-    relay = EventRelay(context, context.reply, splitter)
+    relay = delivery.EventRelay(context, context.reply, splitter)
     generation = Generation(gateway, context, service, relay)
     return await generation.run()
--- /dev/null
+++ b/src/mangorock/retries.py
@@ -0,0 +1,58 @@
+"""Decides whether a failed attempt is repeated on another server.
+
+Requests on the platform are retried in this layer only.  A retry is paid for
+from the budget of this VM, unless the attempt sent nothing.
+"""
+
+from mangorock import metrics
+from mangorock import refusals
+from mangorock import sending
+from mangorock import silence
+
+# Retries after attempts that did not run on any server.  Those that sent
+# nothing cost no retry budget and need a limit of their own.
+MAX_NOT_RUN_RETRIES = 3
+
+
+def is_due(gateway, context, answer):
+    """Return whether a server error should be retried elsewhere."""
+    return (
+        answer.status >= 500
+        and context.route.is_repeatable
+        and context.sends < context.route.max_servers
+        and context.left_s > silence.MIN_ATTEMPT_TIMEOUT_S
+        and gateway.retry_budget.balance >= 1.0
+    )
+
+
+def prepare(gateway, context, server, outcome):
+    """Count a retry, or raise the error that ends the request.
+
+    Attempts that sent nothing may use the same server again and cost
+    no retry budget.
+    """
+    route = context.route
+    if not isinstance(outcome, sending.Unsent):
+        context.tried.add(server.incarnation)
+    match outcome:
+        case sending.Unreachable() | sending.Unsent():
+            context.unsent_attempts += 1
+            if context.unsent_attempts > MAX_NOT_RUN_RETRIES:
+                raise refusals.no_backend(context, gateway.retry_after_s())
+            gateway.metrics.count_retry(metrics.RetryReason.CONNECT)
+            return
+        case sending.Refused():
+            if (
+                context.sends > MAX_NOT_RUN_RETRIES
+                or not gateway.retry_budget.spend()
+            ):
+                raise refusals.backend_refused(
+                    context, gateway.retry_after_s()
+                )
+            gateway.metrics.count_retry(metrics.RetryReason.REFUSED)
+        case _:
+            if not route.is_repeatable or context.sends >= route.max_servers:
+                raise refusals.backend_broken()
+            if not gateway.retry_budget.spend():
+                raise refusals.backend_broken()
+            gateway.metrics.count_retry(metrics.RetryReason.BROKEN)
--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -14,17 +14,13 @@
 
 from mangorock import events
 from mangorock import logs
+from mangorock import silence
 
 # Late answers to earlier requests that are skipped on one connection.
 MAX_FOREIGN_ANSWERS = 2
 # A request that must not run twice reuses an idle connection only if it was
 # used so recently that the server is unlikely to have closed it.
 MAX_UNSAFE_IDLE_S = 1.0
-# Stands for no limit, as it is longer than any request.
-NO_LIMIT_S = 86400.0
-# Interval at which it is checked again whether a silent server can be
-# replaced.
-RECHECK_S = 0.2
 
 
 class InvalidAnswer(Exception):
@@ -74,66 +70,6 @@
     answer: object
 
 
-@attrs.frozen
-class SilenceLimits:
-    """How long a server may be silent before its first event and later.
-
-    None means no limit besides the deadline of the request.  ``may_repeat``
-    says that the request may run again elsewhere.  A server that exceeds a
-    limit is given up only if ``may_give_up()`` is true: silence alone is no
-    failure, so an answer is not ended by it unless it can be continued.
-    """
-
-    may_repeat: bool
-    first_event_s: float | None = None
-    gap_s: float | None = None
-    may_give_up: object = attrs.field(default=lambda: True)
-
-
-@attrs.define
-class SilenceTimer:
-    """Limits the time that reads from one server take together.
-
-    Example::
-
-        timer = SilenceTimer(limits.first_event_s, limits.may_give_up)
-        await timer.read(exchange.read_head)
-        timer.restart(limits.gap_s)
-        data = await timer.read(exchange.read_some)
-    """
-
-    limit_s: float | None
-    may_give_up: object
-    since_s: float = attrs.field(factory=time.monotonic)
-
-    def restart(self, limit_s):
-        """Start to measure anew, as the server was not silent."""
-        self.limit_s, self.since_s = limit_s, time.monotonic()
-
-    @property
-    def left_s(self):
-        """Return the seconds until the limit, None if there is none."""
-        if self.limit_s is None:
-            return None
-        waited_s = time.monotonic() - self.since_s
-        return max(0.0, self.limit_s - waited_s)
-
-    async def read(self, read):
-        """Return the result of ``read()``, which is repeated if needed.
-
-        Raises `curio.errors.TaskTimeout` if the server is given up.
-        """
-        while True:
-            try:
-                async with time_limit(self.left_s):
-                    return await read()
-            except curio.errors.TaskTimeout:
-                if self.may_give_up():
-                    raise
-                waited_s = time.monotonic() - self.since_s
-                self.limit_s = waited_s + RECHECK_S
-
-
 @attrs.define
 class Sender:
     """Sends requests to backend servers and records how they went.
@@ -154,7 +90,7 @@
         exchange = await self._open_exchange(dispatch, limits.may_repeat)
         if isinstance(exchange, Unreachable):
             return exchange
-        timer = SilenceTimer(limits.first_event_s, limits.may_give_up)
+        timer = silence.SilenceTimer(limits.first_event_s, limits.may_give_up)
         try:
             answer = await self._send_and_read_head(
                 exchange, request, dispatch, timer
@@ -181,7 +117,7 @@
         exchange = await self._open_exchange(dispatch, limits.may_repeat)
         if isinstance(exchange, Unreachable):
             return exchange
-        timer = SilenceTimer(limits.first_event_s, limits.may_give_up)
+        timer = silence.SilenceTimer(limits.first_event_s, limits.may_give_up)
         try:
             answer = await self._send_and_read_head(
                 exchange, request, dispatch, timer
@@ -246,7 +182,7 @@
         """
         sent_s = time.monotonic()
         headers = self.wire.encode_headers(request, dispatch)
-        async with time_limit(timer.left_s):
+        async with silence.time_limit(timer.left_s):
             await exchange.write(
                 request.method, request.target, headers, request.body
             )
@@ -316,12 +252,3 @@
         raise InvalidAnswer('the success has no request id')
     if answer.is_encoded:
         raise InvalidAnswer('the body was re-encoded in transit')
-
-
-def time_limit(seconds):
-    """Return a timeout context manager; None means no limit.
-
-    A timeout is set in either case: without an inner one, the code would
-    mistake the expiry of an outer timeout for that of this one.
-    """
-    return curio.timeout_after(NO_LIMIT_S if seconds is None else seconds)
--- a/src/mangorock/waiting.py
+++ b/src/mangorock/waiting.py
@@ -29,7 +29,7 @@
 def wait_of_new_request(context):
     """Return the `Wait` of a request of which no answer was written.
 
-    ``context`` is the request's `gateway.RequestContext`.
+    ``context`` is the request's `context.RequestContext`.
     """
     route = context.route
     target_s = MAX_WAIT_TARGET_FRACTION * route.target_s
