Let no signal handler wait for a lock

Callers of a VM that got two signals within a fraction of a millisecond, such as two SIGHUPs, got no answer any more: the process stood still, also when SIGTERM came.

Cause: the handler set a curio.UniversalEvent, which takes a lock. A second signal interrupted the handler while it held the lock and waited for it for ever, in the same thread. Class: code that is not re-entrant runs in a signal handler. The product's own daemon and the stand-ins had the same handler.

Change: wakeup.Wakeup is set by one send to a non-blocking socket pair and takes no lock.

--- a/src/mangorock/daemon.py
+++ b/src/mangorock/daemon.py
@@ -27,6 +27,7 @@
 from mangorock import settings as settings_module
 from mangorock import signals
 from mangorock import streams
+from mangorock import wakeup
 from mangorock import watcher
 
 EXIT_OK = 0
@@ -192,7 +193,7 @@
     """
     env = environment.make_environment(settings)
     daemon = Daemon(env)
-    stop = curio.UniversalEvent()
+    stop = wakeup.make_wakeup()
     received.listen(signals.STOP, stop.set)
     await daemon.start()
     await stop.wait()
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -27,6 +27,7 @@
 from mangorock import presence
 from mangorock import signals
 from mangorock import staging
+from mangorock import wakeup
 
 CONNECT_TIMEOUT_S = 0.5  # A hundred round trips between failure domains.
 SEND_TIMEOUT_S = 2.0  # Unacknowledged bytes end a connection after this.
@@ -388,7 +389,7 @@
     `FrontDaemon`; ``received`` are the `signals.Signals` of the process.
     """
     front = FrontDaemon(load_settings(), platform)
-    stop, hangup = curio.UniversalEvent(), curio.UniversalEvent()
+    stop, hangup = wakeup.make_wakeup(), wakeup.make_wakeup()
     received.listen(signals.STOP, stop.set)
     received.listen(signals.HANGUP, hangup.set)
     await front.start()
--- a/src/mangorock/signals.py
+++ b/src/mangorock/signals.py
@@ -7,7 +7,7 @@
 Example::
 
     received = signals.install()
-    stop = curio.UniversalEvent()
+    stop = wakeup.make_wakeup()
     received.listen(signals.STOP, stop.set)
 """
 
--- a/src/mangorock_standins/shell.py
+++ b/src/mangorock_standins/shell.py
@@ -7,6 +7,7 @@
 
 from mangorock import http
 from mangorock import signals
+from mangorock import wakeup
 
 MAX_BODY_BYTES = 64_000_000
 
@@ -48,7 +49,7 @@
     """Serve HTTP requests with ``handler`` until SIGTERM or SIGINT."""
     sock = http.listen(host, port)
     print(f'listening {host}:{sock.getsockname()[1]}', flush=True)
-    stop = curio.UniversalEvent()
+    stop = wakeup.make_wakeup()
     signals.install().listen(signals.STOP, stop.set)
     task = await curio.spawn(http.serve, sock, handler, MAX_BODY_BYTES)
     await stop.wait()
