Let the soak show requests without an answer

Cause: the soak could not show a request that ends without an answer. Its callers counted a closed connection as one more outcome, came back at once and never waited near the idle timeout; faults came one at a time, and nobody read the VMs' logs.

Change: callers keep a connection until the VM closes it or its process is gone, also while it stops; they honour Connection: close and Retry-After, some leave, some close their sending side. SIGTERM, SIGHUP with another settings file, SIGHUPs in quick succession, drains and configurations (timeouts, idle timeout, moved and split routes) come in series and overlap. Servers may be silent but sound. An audit asks an excuse for each request without a whole answer, from what the caller saw and from the logs; request_failed, connection_failed and request_unanswered lines are violations without one. Existing invariants are kept; streams that may not be resumed are new ones that run once. SIGTERM is no longer sent to a process that has no handler of it yet (its interpreter is starting), which no program can survive: seen once as exit status -15.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,8 +4,9 @@
 56.  Each VM is a process of ``platform/serve.py``; the store, the backend
 servers and the callers are stand-ins in this process.  Proxies between the
 VMs and the store or the servers inject network faults.  Invariants are
-checked throughout; violations are printed with their seed, and the exit
-status is then 1.  Only processes that were started here are stopped.
+checked throughout, and the VMs' logs afterwards; violations are printed with
+their seed, and the exit status is then 1.  Only processes that were started
+here are stopped.
 """
 
 import argparse
@@ -15,6 +16,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 
 import attrs
 import curio
@@ -23,10 +25,17 @@
 
 from mangorock import client as clients
 from tests import fleet
+from tests import soak_audit
+from tests import soak_callers
+from tests import soak_plans
 from tests import soak_proxy
 from tests import soak_world
 
-GRACE_S = 3
+# Grace periods that the settings files give.
+GRACE_CHOICES_S = (3, 5)
+KEPT_CALLERS_PER_VM = 5
+# SIGHUP is sent to a stopping VM only this soon after SIGTERM.
+HANGUP_AFTER_TERM_S = 1.5
 START_TIMEOUT_S = 20.0  # A VM starts within this time even on a busy host.
 # Each VM serves every kind of request within this time after the last fault.
 RECOVERY_TIMEOUT_S = 20.0
@@ -44,7 +53,12 @@
     'server_fault',
     'drain',
     'config',
+    'series',
+    'series',
+    'series',
 )
+# Planned changes that a series combines.
+SERIES_ACTIONS = ('config', 'config', 'term', 'hangup', 'hangups', 'drain')
 
 
 @attrs.define(eq=False)
@@ -52,7 +66,9 @@
     """An entry VM: its process and the proxy between it and the store.
 
     ``is_interrupted`` is true while the process is being restarted or is
-    paused; no other signal is sent to it as a fault then.
+    paused; no other signal is sent to it as a fault then, except SIGHUP.
+    ``history`` is a list of (name, moment) of ``start``, ``term``, ``kill``,
+    ``exit``, ``pause`` and ``resume``.
     """
 
     number: int
@@ -60,6 +76,52 @@
     proxy: soak_proxy.Proxy
     process: object = None
     is_interrupted: bool = False
+    grace_s: float = GRACE_CHOICES_S[0]
+    history: list = attrs.field(factory=list)
+
+    def record(self, name):
+        """Add an event to the history."""
+        self.history.append((name, soak_world.now()))
+
+    @property
+    def log_path(self):
+        """Return the path of the log of all processes of this VM."""
+        return self.folder / f'vm-{self.number}.log'
+
+    @property
+    def settings_path(self):
+        """Return the path of the settings file."""
+        return self.folder / f'vm-{self.number}.json'
+
+    def handles(self, number):
+        """Return whether the process has a handler of this signal.
+
+        A new one gets its handlers some milliseconds after its start, and
+        a stopping one loses them just before its end.
+        """
+        status = pathlib.Path(f'/proc/{self.process.pid}/status')
+        try:
+            lines = status.read_text().splitlines()
+        except OSError:
+            # The process has ended.
+            return False
+        for line in lines:
+            name, _, value = line.partition(':')
+            if name == 'SigCgt':
+                return bool(int(value, 16) >> (number - 1) & 1)
+        return False
+
+    def hang_up(self):
+        """Send SIGHUP unless that would end the process.
+
+        Not late in a stop, when the handlers are removed.
+        """
+        is_late = (
+            self.history[-1][0] == 'term'
+            and soak_world.now() - self.history[-1][1] > HANGUP_AFTER_TERM_S
+        )
+        if self.handles(signal.SIGHUP) and not is_late:
+            self.process.send_signal(signal.SIGHUP)
 
     @property
     def ip(self):
@@ -75,8 +137,8 @@
         """Return the address that callers connect to."""
         return f'{self.ip}:8144'
 
-    def start(self):
-        """Write the settings file and start the process."""
+    def write_settings(self):
+        """Write the settings file."""
         settings = {
             'nodeName': f'vm-{self.number}',
             'ip': self.ip,
@@ -85,26 +147,36 @@
             'listen': {'front': self.address, 'ready': f'{self.ip}:8140'},
             'internalPorts': [7660, 7675],
             'limits': {'cpuShare': 1.0, 'cores': 1},
-            'bounds': {'graceS': GRACE_S},
+            'bounds': {'graceS': self.grace_s},
             'platform': {'address': f'127.0.0.1:{self.proxy.port}'},
         }
-        path = self.folder / f'vm-{self.number}.json'
-        path.write_bytes(orjson.dumps(settings))
-        log = open(self.folder / f'vm-{self.number}.log', 'ab')
-        with log:
+        newer = self.settings_path.with_suffix('.new')
+        newer.write_bytes(orjson.dumps(settings))
+        newer.replace(self.settings_path)
+
+    def start(self):
+        """Write the settings file and start the process."""
+        self.write_settings()
+        self.record('start')
+        with open(self.log_path, 'ab') as log:
             self.process = subprocess.Popen(
                 [sys.executable, str(fleet.ROOT / 'platform' / 'serve.py')],
-                env={**os.environ, 'MANGOROCK_BOOT': str(path)},
+                env={
+                    **os.environ,
+                    'MANGOROCK_BOOT': str(self.settings_path),
+                },
                 stdout=log,
                 stderr=log,
             )
 
     async def stop(self, number, wait_s=START_TIMEOUT_S):
         """Send a terminating signal and return the exit status."""
+        self.record('kill' if number == signal.SIGKILL else 'term')
         self.process.send_signal(number)
         async with curio.timeout_after(wait_s):
             while self.process.poll() is None:
                 await curio.sleep(0.02)
+        self.record('exit')
         return self.process.returncode
 
 
@@ -117,9 +189,12 @@
         self.checker = soak_world.InvariantChecker()
         self.store = fleet.Store()
         self.folder = pathlib.Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
         self.version = 2
         self.sequence = 1
         self.servers, self.proxies, self.drained = [], {}, set()
+        self.disturbances = []
+        self.configs = soak_plans.Configs(soak_world.make_rng(seed, 'config'))
         self.vms = [
             Vm(
                 number,
@@ -128,15 +203,17 @@
             )
             for number in range(vms)
         ]
+        for vm in self.vms:
+            vm.log_path.unlink(missing_ok=True)
         self.client = clients.Client()
         self.tasks = []
 
     async def start(self):
         """Start the stand-ins and then the VMs."""
         await self.store.start()
-        self.store.put('op/config', fleet.make_config(self.version))
-        services = [('desk', None)] * 3 + [('llm', 'prefill')] * 2
-        services += [('llm', 'decode')] * 3
+        self.store.put('op/config', self.configs.make_first(self.version))
+        services = [('desk', None)] * 3 + [('annex', None)] * 2
+        services += [('llm', 'prefill')] * 2 + [('llm', 'decode')] * 3
         for service, stage in services:
             await self._add_server(service, stage)
         for vm in self.vms:
@@ -178,16 +255,55 @@
                 rng = soak_world.make_rng(self.seed, 'caller', number)
                 caller = soak_world.Caller(number, self.checker, rng, self.vms)
                 await self._spawn(caller.run, self.client)
+            for number in range(KEPT_CALLERS_PER_VM * len(self.vms)):
+                await self._spawn(
+                    self._make_kept_caller(number).run, self.client
+                )
             end_s = soak_world.now() + seconds
             while soak_world.now() < end_s:
                 action = self.rng.choice(ACTIONS)
                 await self._spawn(getattr(self, f'_{action}'))
                 await curio.sleep(self.rng.uniform(0.1, 1.2))
             await self._recover()
+            self._check_processes()
         finally:
             await self.close()
+        self._audit()
         return self.checker.violations
 
+    def _make_kept_caller(self, number):
+        return soak_callers.KeptCaller(
+            number,
+            self.checker,
+            soak_world.make_rng(self.seed, 'kept', number),
+            self.vms,
+            lambda: self.configs.idle_timeout_s,
+        )
+
+    def _check_processes(self):
+        """Check that no process ended that was not told to."""
+        for vm in self.vms:
+            status = vm.process.poll()
+            self.checker.check(
+                vm.is_interrupted or status is None,
+                f'vm-{vm.number} ended by itself with status {status}',
+            )
+
+    def _audit(self):
+        logs = {}
+        for vm in self.vms:
+            if vm.log_path.exists():
+                with open(vm.log_path, errors='replace') as lines:
+                    logs[vm.number] = soak_audit.read_log(lines)
+        soak_audit.Audit(
+            self.checker,
+            logs,
+            self.disturbances,
+            self.configs.least_idle_s,
+            self.configs.least_timeout_s,
+            min(GRACE_CHOICES_S),
+        ).run()
+
     async def _spawn(self, function, *args):
         self.tasks.append(await curio.spawn(function, *args))
 
@@ -241,15 +357,19 @@
         await self._set_temporarily(proxy, 'mode', mode, 'fine')
 
     async def _proxy_server(self):
-        proxy = self.rng.choice(list(self.proxies.values()))
+        name = self.rng.choice(list(self.proxies))
         mode = self.rng.choice(soak_proxy.MODES)
-        await self._set_temporarily(proxy, 'mode', mode, 'fine')
+        start_s = soak_world.now()
+        await self._set_temporarily(self.proxies[name], 'mode', mode, 'fine')
+        self.disturbances.append((name, start_s, soak_world.now()))
 
     async def _reset_store(self):
         self.rng.choice(self.vms).proxy.reset(0.7, self.rng)
 
     async def _reset_server(self):
-        self.rng.choice(list(self.proxies.values())).reset(0.7, self.rng)
+        name = self.rng.choice(list(self.proxies))
+        self.proxies[name].reset(0.7, self.rng)
+        self.disturbances.append((name, soak_world.now(), soak_world.now()))
 
     async def _kill(self):
         await self._restart(signal.SIGKILL)
@@ -264,7 +384,7 @@
 
     async def _restart(self, number):
         vm = self.rng.choice(self.vms)
-        if vm.is_interrupted:
+        if vm.is_interrupted or not vm.handles(signal.SIGTERM):
             return None
         vm.is_interrupted = True
         try:
@@ -280,15 +400,26 @@
         if vm.is_interrupted:
             return
         vm.is_interrupted = True
+        vm.record('pause')
         vm.process.send_signal(signal.SIGSTOP)
         await curio.sleep(self.rng.uniform(0.2, 2.5))
         vm.process.send_signal(signal.SIGCONT)
+        vm.record('resume')
         vm.is_interrupted = False
 
     async def _hangup(self):
+        """Change a settings file and announce that by SIGHUP."""
+        vm = self.rng.choice(self.vms)
+        vm.grace_s = self.rng.choice(GRACE_CHOICES_S)
+        vm.write_settings()
+        vm.hang_up()
+
+    async def _hangups(self):
+        """Send SIGHUP many times, some while the last one is handled."""
         vm = self.rng.choice(self.vms)
-        if not vm.is_interrupted:
-            vm.process.send_signal(signal.SIGHUP)
+        for _ in range(self.rng.randrange(5, 30)):
+            vm.hang_up()
+            time.sleep(self.rng.uniform(0.0, 0.0005))
 
     async def _store_busy(self):
         status = self.rng.choice((429, 503))
@@ -318,15 +449,20 @@
 
     async def _config(self):
         self.version += self.rng.randrange(1, 4)
-        config = fleet.make_config(self.version)
-        config['routes'][0]['timeoutMs'] = self.rng.choice((800, 1500))
-        self.store.put('op/config', config)
+        self.store.put('op/config', self.configs.make(self.version))
+
+    async def _series(self):
+        """Start planned changes in quick succession, so that they overlap."""
+        for _ in range(self.rng.randrange(3, 9)):
+            action = self.rng.choice(SERIES_ACTIONS)
+            await self._spawn(getattr(self, f'_{action}'))
+            await curio.sleep(self.rng.choice((0.0, 0.02, 0.3)))
 
 
 def run_seed(seed, seconds, vms=3, folder=None):
     """Run one seed and return its `soak_world.InvariantChecker`."""
     with tempfile.TemporaryDirectory() as temporary:
-        soak = Soak(seed, vms, folder or temporary)
+        soak = Soak(seed, vms, pathlib.Path(folder or temporary, f'{seed}'))
         curio.run(soak.run, seconds)
     return soak.checker
 
@@ -346,8 +482,17 @@
         served = sum(
             count for key, count in checker.counts.items() if key[1] == 200
         )
-        total = sum(checker.counts.values())
-        print(f'seed {seed}: {served} of {total} served', flush=True)
+        total = len(checker.statuses)
+        excused = {
+            key[1]: count
+            for key, count in checker.counts.items()
+            if key[0] == 'excused'
+        }
+        print(
+            f'seed {seed}: {served} of {total} answers are a success; '
+            f'excused {excused}',
+            flush=True,
+        )
         for line in checker.violations[:10]:
             print(f'  violation: {line}', flush=True)
         has_violations = has_violations or bool(checker.violations)
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -14,18 +14,45 @@
 import h11
 import orjson
 
+from mangorock import client as clients
 from tests import fleet
 from tests import workers
 
 EVENTS = 6  # The number of events in a complete stream.
 # Statuses that say that the request was not executed.
 NOT_RUN = frozenset((408, 421, 429, 503))
+# Kinds of requests that run at most once.
+RUNS_ONCE = frozenset(('unsafe', 'once'))
 # ``full`` refuses the request as not executed, ``cut`` closes the connection
 # in the middle of the answer, ``foreign`` sends an answer to another request
 # first, ``extra`` sends a second answer and ``hang`` executes the request but
 # closes the connection after 6 s without an answer.  On streams, ``foreign``
-# has no effect and ``extra`` acts like ``cut``.
-FAULTS = ('fine', 'full', 'cut', 'foreign', 'extra', 'hang')
+# has no effect and ``extra`` acts like ``cut``.  ``silent`` pauses before a
+# part of an answer that is sound and complete.
+FAULTS = ('fine', 'full', 'cut', 'foreign', 'extra', 'hang', 'silent')
+BREAKING_FAULTS = frozenset(('cut', 'foreign', 'extra', 'hang'))
+SILENCE_RANGE_S = (0.4, 2.2)
+
+
+@attrs.define
+class Attempt:
+    """A request that a caller sent on a connection to ``vm``.
+
+    ``manner`` is ``stay``, ``leave`` or ``half_close``.  ``idle_s`` is how
+    long the connection had been idle, 0 for a new one.  ``progress`` tells
+    how much of the answer the caller read (``none``, ``part``, ``whole``) and
+    ``error`` why it read no more.
+    """
+
+    request_id: str
+    kind: str
+    vm: object
+    manner: str = 'stay'
+    idle_s: float = 0.0
+    sent_s: float = 0.0
+    ended_s: float = 0.0
+    progress: str = 'none'
+    error: str = ''
 
 
 @attrs.define
@@ -33,9 +60,13 @@
     """Records executions and answers and checks them for contradictions.
 
     ``runs`` maps request ids to the servers that executed the request,
-    ``statuses`` to the status that the caller received.
+    ``statuses`` to the status that the caller received and ``attempts`` to
+    the `Attempt`.  ``broken`` holds the ids of requests that a server broke
+    off.
     """
 
+    attempts: dict = attrs.field(factory=dict)
+    broken: set = attrs.field(factory=set)
     runs: dict = attrs.field(factory=lambda: collections.defaultdict(list))
     statuses: dict = attrs.field(factory=dict)
     counts: collections.Counter = attrs.field(factory=collections.Counter)
@@ -44,7 +75,7 @@
     def record_run(self, request_id, kind, server):
         """Record that a server executes a request."""
         self.runs[request_id].append(server)
-        if kind == 'unsafe':
+        if kind in RUNS_ONCE:
             if len(self.runs[request_id]) > 1:
                 self.violations.append(f'{request_id} ran twice')
             if self.statuses.get(request_id) in NOT_RUN:
@@ -54,7 +85,8 @@
         """Record the status that the caller received."""
         self.statuses[request_id] = status
         self.counts[kind, status] += 1
-        if kind == 'unsafe' and status in NOT_RUN and self.runs[request_id]:
+        is_false = status in NOT_RUN and self.runs[request_id]
+        if kind in RUNS_ONCE and is_false:
             self.violations.append(f'{request_id} got {status} and has run')
 
     def check(self, is_satisfied, violation):
@@ -70,11 +102,26 @@
 
 def kind_of(target):
     """Return the kind of request that the route of a target serves."""
-    return {'look': 'safe', 'place': 'unsafe'}.get(
+    return {'look': 'safe', 'place': 'unsafe', 'ask': 'once'}.get(
         target.split('/')[1], 'stream'
     )
 
 
+def describe_request(kind, rng):
+    """Return the path and the headers of a request of this kind."""
+    match kind:
+        case 'safe':
+            return '/look/', ()
+        case 'unsafe':
+            return '/place/', ()
+        case 'stream':
+            return '/read/', fleet.prompt_headers()
+        case 'once':
+            return '/ask/', fleet.prompt_headers()
+    parts = f'd{rng.randrange(4)}:6000,o:3000'
+    return '/read/', fleet.prompt_headers(9000, parts)
+
+
 class Server(workers.Worker):
     """A backend server that records executions and injects faults."""
 
@@ -102,9 +149,11 @@
             return workers.not_executed_response(request)
         kind = kind_of(request.target)
         self.checker.record_run(request.request_id, kind, self.name)
+        if fault in BREAKING_FAULTS:
+            self.checker.broken.add(request.request_id)
         if fault == 'hang':
             return [6.0, workers.CLOSE]
-        if kind == 'stream':
+        if kind in ('stream', 'once'):
             return self._stream(request, fault)
         return self._whole(request, fault)
 
@@ -112,6 +161,8 @@
         body = answer_body(request.request_id)
         answer = workers.whole_response(request, body)
         work_s = self.rng.uniform(0.005, 0.05)
+        if fault == 'silent':
+            work_s += self.rng.uniform(*SILENCE_RANGE_S)
         if fault == 'cut':
             return [
                 work_s,
@@ -135,6 +186,8 @@
             piece = workers.event_chunks(number, number)
             if fault in ('cut', 'extra') and number == cut_at:
                 return [*parts, piece[: len(piece) // 2], workers.CLOSE]
+            if fault == 'silent' and number == cut_at:
+                parts.append(self.rng.uniform(*SILENCE_RANGE_S))
             parts += [self.rng.uniform(0.005, 0.03), piece]
         return [*parts, b'0\r\n\r\n']
 
@@ -151,6 +204,8 @@
         )
         self.request_count = 0
         self.exchange = None
+        self.vm = None
+        self.idle_since_s = 0.0
 
     async def run(self, client):
         """Send requests until cancelled."""
@@ -173,34 +228,50 @@
             await client.discard(self.exchange)
             self.exchange = None
 
-    async def send_request(self, client, kind, request_id):
+    async def connect(self, client):
+        """Open a connection, or use the last one if it is still open.
+
+        Return how long it has been idle, in seconds.
+        """
+        exchange = self.exchange
+        if (
+            exchange is not None
+            and exchange.is_reusable
+            and clients.is_connection_idle(exchange.sock)
+        ):
+            exchange.conn.start_next_cycle()
+            exchange.status = 0
+            return now() - self.idle_since_s
+        await self.disconnect(client)
+        self.vm = self.rng.choice(self.vms)
+        self.exchange = await client.open(self.vm.address, new_connection=True)
+        return 0.0
+
+    async def send_request(
+        self, client, kind, request_id, manner='stay', deadline_ms=1400
+    ):
         """Send one request, check the answer and return its status."""
-        if self.exchange is None or not self.exchange.is_reusable:
-            await self.disconnect(client)
-            address = self.rng.choice(self.vms).address
-            self.exchange = await client.open(address, new_connection=True)
-        else:
-            self.exchange.conn.start_next_cycle()
+        idle_s = await self.connect(client)
         exchange = self.exchange
-        path, sizes = {
-            'safe': ('/look/', ()),
-            'unsafe': ('/place/', ()),
-            'stream': ('/read/', fleet.prompt_headers()),
-            'long': (
-                '/read/',
-                fleet.prompt_headers(
-                    9000, f'd{self.rng.randrange(4)}:6000,o:3000'
-                ),
-            ),
-        }[kind]
+        attempt = Attempt(request_id, kind, self.vm, manner, idle_s, now())
+        self.checker.attempts[request_id] = attempt
+        path, sizes = describe_request(kind, self.rng)
         headers = [
             ('host', fleet.HOST),
             ('x-request-id', request_id),
-            ('x-deadline-ms', '1400'),
+            ('x-deadline-ms', str(deadline_ms)),
             *sizes,
         ]
-        await exchange.send('POST', path, headers, b'order')
-        body = await exchange.read()
+        try:
+            await exchange.send('POST', path, headers, b'order')
+            attempt.progress = 'part'
+            body = await exchange.read()
+            attempt.progress = 'whole'
+        except BaseException as exc:
+            attempt.error = type(exc).__name__
+            raise
+        finally:
+            self.idle_since_s = attempt.ended_s = now()
         self._check_answer(kind, request_id, exchange, body)
         if exchange.headers.get('connection') == 'close':
             await self.disconnect(client)
@@ -217,7 +288,7 @@
             and 'x-response-signature' in headers,
             f'{request_id} got another answer: {headers}',
         )
-        if kind in ('stream', 'long'):
+        if kind in ('stream', 'long', 'once'):
             expected = b''.join(
                 b'id: %d\ndata: piece %d\n\n' % (n, n)
                 for n in range(1, EVENTS + 1)
@@ -235,3 +306,8 @@
 def now():
     """Return the monotonic time in seconds."""
     return time.monotonic()
+
+
+def overlaps(span, start_s, end_s):
+    """Return whether the (start, end) ``span`` overlaps this time."""
+    return span[0] <= end_s and start_s <= span[1]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from tests import soak
+from tests import soak_audit
 from tests import soak_world
 from tests import workers
 
@@ -62,6 +63,79 @@
         self.assertEqual(1, len(checker.violations))
 
 
+def audit_attempt(history=(), log=(), disturbances=(), **changes):
+    """Return the violations that an audit finds with one attempt.
+
+    By default the caller got no byte of an answer within 0.1 s, on a
+    connection that had been idle for 0.1 s.
+    """
+    vm = types.SimpleNamespace(number=0, history=list(history))
+    attempt = soak_world.Attempt(
+        'r1', 'safe', vm, idle_s=0.1, sent_s=100.0, ended_s=100.1
+    )
+    for name, value in changes.items():
+        setattr(attempt, name, value)
+    checker = soak_world.InvariantChecker()
+    checker.attempts['r1'] = attempt
+    checker.runs['r1'].append('desk-1')
+    logs = {0: soak_audit.read_log(log)}
+    soak_audit.Audit(checker, logs, disturbances, 0.6, 0.8, 3).run()
+    return checker.violations
+
+
+class AuditTest(unittest.TestCase):
+    """A request without a whole answer needs an excuse."""
+
+    def test_connection_that_ends_without_an_excuse(self):
+        for changes in (
+            {},
+            {'progress': 'part'},
+            {'error': 'TaskTimeout'},
+            {'history': [('kill', 90.0), ('start', 91.0)]},
+            {'history': [('term', 99.0)]},
+            {'log': ['event=request_done request=r1 end=timeout seconds=1']},
+            {
+                'progress': 'part',
+                'log': ['event=request_done request=r1 end=timeout seconds=0'],
+            },
+            {'progress': 'part', 'disturbances': [('desk-1', 100.0, 101.0)]},
+            {'history': [('term', 98.0), ('exit', 100.0)], 'progress': 'part'},
+        ):
+            self.assertEqual(1, len(audit_attempt(**changes)), changes)
+
+    def test_excuses(self):
+        done = 'event=request_done request=r1 end=%s seconds=1 servers=desk-1'
+        for changes in (
+            {'progress': 'whole'},
+            {'manner': 'leave'},
+            {'history': [('kill', 100.0)]},
+            {'idle_s': 0.6},
+            {'history': [('term', 97.1)]},
+            {'history': [('exit', 100.1)]},
+            {'history': [('term', 97.5), ('exit', 100.1)], 'progress': 'part'},
+            {'progress': 'part', 'log': [done % 'timeout']},
+            {
+                'progress': 'part',
+                'log': [done % 'backend_broken'],
+                'disturbances': [('desk-1', 99.0, 99.1)],
+            },
+        ):
+            self.assertEqual([], audit_attempt(**changes), changes)
+
+    def test_log_lines_without_an_excuse(self):
+        unanswered = 'event=request_unanswered request=r1 end=caller_gone'
+        for line in (
+            unanswered,
+            'event=request_failed error=x',
+            'event=connection_failed error=x',
+            'event=connection_expired waited_s=1 has_started=True',
+            'Traceback (most recent call last):',
+        ):
+            found = audit_attempt(log=[line], progress='whole')
+            self.assertEqual(1, len(found), line)
+        self.assertEqual(2, len(audit_attempt(log=[unanswered])))
+
+
 class SoakTest(unittest.TestCase):
     """Real VMs under faults for some seconds."""
 
@@ -69,6 +143,17 @@
         checker = soak.run_seed(seed=1, seconds=6.0)
         self.assertEqual([], checker.violations)
 
+    def test_seeds_that_failed(self):
+        for seed, cause in (
+            (1, 'SIGHUP during the handling of SIGHUP halted a VM'),
+            (2, 'an idle timeout closed a connection with unread bytes'),
+            (4, 'an idle timeout closed a connection with unread bytes'),
+            (8, 'a silent stream was given up with no retry left'),
+        ):
+            with self.subTest(seed=seed, cause=cause):
+                checker = soak.run_seed(seed, seconds=12.0)
+                self.assertEqual([], checker.violations)
+
     def test_false_refusals_of_servers_are_found(self):
         def refuse(request):
             return workers.not_executed_response(request)
