Let a stream that broke off wait for a server that is still to come

Callers saw a begun stream reset as soon as its server broke off where no other server was known, although one registered shortly afterwards.

Cause: the wait for a server was given to streams that found all servers full, but not to those that found none; the latter were refused, and a begun answer that is refused is reset. A waiting request was also woken only by the end of another one, not by a server that was added. Class: as for the waits of begun streams before, a refusal for those that cannot be refused any more.

Evidence: test_resumed_stream_waits_for_a_server_that_registers failed before: the stream was reset and never waited.

Change: a begun stream waits without a server as it does without room, and waiting requests try again every 0.1 s.

--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -476,7 +476,7 @@
                 found = place()
                 if found is not None:
                     return found
-            async with curio.ignore_after(wait_s):
+            async with curio.ignore_after(min(wait_s, waiting.RECHECK_S)):
                 await ticket.wakeup.wait()
 
     async def notify_first_waiter(self, service):
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -325,7 +325,7 @@
     def _place_locally(self):
         gateway, context = self.gateway, self.context
         servers = gateway.eligible_servers(context)
-        if not servers:
+        if not servers and not self.relay.reply.is_started:
             raise refusals.no_backend(context, gateway.retry_after_s())
         return self._place_on(servers)
 
--- a/src/mangorock/waiting.py
+++ b/src/mangorock/waiting.py
@@ -11,6 +11,8 @@
 
 # Longest wait of a new request, as a fraction of the target latency.
 MAX_WAIT_TARGET_FRACTION = 1.0
+# Interval of a new try, as a server that is added does not wake the queue.
+RECHECK_S = 0.1
 
 
 @attrs.frozen
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -352,6 +352,34 @@
             await cluster.client.discard(exchange)
 
 
+class LateServers(unittest.TestCase):
+    """Streams that broke off while no other server is known."""
+
+    @test_front.run
+    async def test_resumed_stream_waits_for_a_server_that_registers(self):
+        # It was reset at once, though its caller was still patient.
+        def break_off(request):
+            head = workers.response_head(request, CHUNKED)
+            return [head + workers.event_chunks(1, 2), 0.1, workers.CLOSE]
+
+        first = workers.Worker('d1', 'llm', break_off)
+        late = workers.Worker('d2', 'llm', workers.stream_response)
+        async with fleet.Fleet(first, config=make_config()) as cluster:
+            await late.start()
+            gateway = cluster.front.gateway
+            stream = await curio.spawn(read_stream, cluster)
+            await fleet.wait_until(lambda: has_waiter(gateway))
+            cluster.store.put('servers/d2', late.entry())
+            self.assertEqual(4, await stream.join())
+            await late.close()
+
+
+def has_waiter(gateway):
+    """Say whether a request of the streams' service waits in the queue."""
+    queue = gateway.wait_queues.get('llm')
+    return bool(queue and queue.waiters)
+
+
 def send_without_waiting(cluster):
     """Connect to the front and send a request, while no task runs."""
     caller = socket.create_connection(cluster.settings.caller_address)
