Serve new requests past a stream that may not use the free server

Callers got 503 although a server had room: in front of them in the queue was a stream that broke off, which must not use the server that it had, and found no other one.

Cause: only the first in the queue may be placed, and a begun stream goes first and waits until its caller gives up, seconds rather than its target latency.

Change: a waiting stream holds those behind it only while there is room for itself, and a free slot wakes the first that may be placed.

--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -455,8 +455,9 @@
             found = place()
             if found is not None:
                 return found
+        own_place = place if wait.is_resumed else None
         ticket = queue.add(
-            wait.priority, time.monotonic(), wait.until_s, wait.is_resumed
+            wait.priority, time.monotonic(), wait.until_s, own_place
         )
         if ticket is None:
             raise refusals.overloaded(context, self.retry_after_s())
--- a/src/mangorock/waiting.py
+++ b/src/mangorock/waiting.py
@@ -41,11 +41,16 @@
 
 @attrs.define(eq=False)
 class Waiter:
-    """A queued request; ``wakeup`` is set when it may try again."""
+    """A queued request; ``wakeup`` is set when it may try again.
+
+    A stream that broke off has ``place()``, which returns its placement,
+    None if there is no room for it.
+    """
 
     priority: int
     queued_at_s: float
     expires_at_s: float
+    place: object = None
     wakeup: curio.Event = attrs.field(factory=curio.Event)
 
     @property
@@ -53,6 +58,15 @@
         """Return the key that orders the queue."""
         return self.priority, self.queued_at_s
 
+    @property
+    def is_blocking(self):
+        """Return whether the requests behind it must wait.
+
+        A stream that broke off may not use the servers that it has tried,
+        even if no other one has room.
+        """
+        return self.place is None or self.place() is not None
+
 
 @attrs.define
 class WaitQueue:
@@ -61,11 +75,14 @@
     max_waiters: int
     waiters: list = attrs.field(factory=list)
 
-    def add(self, priority, now, expires_at_s, is_resumed=False):
-        """Return a new `Waiter`, or None if the queue is full."""
-        if len(self.waiters) >= self.max_waiters and not is_resumed:
+    def add(self, priority, now, expires_at_s, place=None):
+        """Return a new `Waiter`, or None if the queue is full.
+
+        ``place`` is given for a stream that broke off.
+        """
+        if len(self.waiters) >= self.max_waiters and place is None:
             return None
-        waiter = Waiter(priority, now, expires_at_s)
+        waiter = Waiter(priority, now, expires_at_s, place)
         self.waiters.append(waiter)
         return waiter
 
@@ -80,11 +97,16 @@
         waiters of the same or a more urgent priority.
         """
         if waiter is None:
-            return all(t.priority > priority for t in self.waiters)
-        return all(
-            t is waiter or t.sort_key > waiter.sort_key for t in self.waiters
-        )
+            earlier = [t for t in self.waiters if t.priority <= priority]
+        else:
+            earlier = [
+                t
+                for t in self.waiters
+                if t is not waiter and t.sort_key <= waiter.sort_key
+            ]
+        return not any(t.is_blocking for t in earlier)
 
     def first(self):
-        """Return the first waiter, or None if the queue is empty."""
-        return min(self.waiters, key=lambda t: t.sort_key, default=None)
+        """Return the first waiter that may be placed, None without one."""
+        waiters = sorted(self.waiters, key=lambda t: t.sort_key)
+        return next((t for t in waiters if t.is_blocking), None)
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -49,11 +49,11 @@
     return config
 
 
-async def read_stream(cluster, *prompt_headers):
+async def read_stream(cluster, *prompt_headers, path='/read/'):
     """Return the number of events that a caller of the route gets."""
     _, body = await cluster.request(
         'POST',
-        '/read/',
+        path,
         ('x-deadline-ms', '6000'),
         *(prompt_headers or fleet.prompt_headers()),
         body=b'q',
@@ -352,6 +352,35 @@
             await cluster.client.discard(exchange)
 
 
+class WaitingBehindAResumedStream(unittest.TestCase):
+    """New requests while a stream that broke off waits for its turn."""
+
+    @test_front.run
+    async def test_new_request_is_served_by_the_server_that_broke_off(self):
+        # It waited behind a stream that may not use the only free server.
+        def break_off_once(request):
+            if request.target == '/read/first':
+                head = workers.response_head(request, CHUNKED)
+                return [head + workers.event_chunks(1, 2), 0.1, workers.CLOSE]
+            return workers.stream_response(request)
+
+        servers = [
+            workers.Worker('d1', 'llm', break_off_once),
+            workers.Worker('d2', 'llm', break_off_once),
+        ]
+        async with fleet.Fleet(*servers, config=make_config()) as cluster:
+            gateway = cluster.front.gateway
+            fill(gateway, 'd2')
+            stream = await curio.spawn(
+                lambda: read_stream(cluster, path='/read/first')
+            )
+            await fleet.wait_until(lambda: has_waiter(gateway))
+            self.assertEqual(4, await read_stream(cluster))
+            self.assertTrue(has_waiter(gateway))
+            await stream.cancel()
+        self.assertEqual(2, len(servers[0].received))
+
+
 class LateServers(unittest.TestCase):
     """Streams that broke off while no other server is known."""
 
@@ -374,6 +403,13 @@
             await late.close()
 
 
+def fill(gateway, server_id):
+    """Have a server count as full."""
+    for server in gateway.registry.servers.values():
+        if server.server_id == server_id:
+            gateway.placer.load(server).in_flight += MANY
+
+
 def has_waiter(gateway):
     """Say whether a request of the streams' service waits in the queue."""
     queue = gateway.wait_queues.get('llm')
