Keep a listener open after a failed accept

Callers of the product's own interface, and load balancers that ask whether an entry VM is ready, found the port closed until the process was restarted.

Cause: http.serve ended with the first OSError of accept, such as that of too many open files, and took the listening socket with it; the ingress alone went on. Class: an error of one connection is taken for the end of all.

Change: the error is logged and accept is tried again after 0.05 s, as in the ingress. Result: the test passes.

--- a/src/mangorock/http.py
+++ b/src/mangorock/http.py
@@ -14,10 +14,12 @@
 import orjson
 
 from mangorock import errors
+from mangorock import logs
 
 READ_BYTES = 65536
 MAX_HEAD_BYTES = 16384
 IDLE_TIMEOUT_S = 75.0
+ACCEPT_RETRY_S = 0.05
 
 
 @attrs.frozen
@@ -205,7 +207,13 @@
     """
     async with sock:
         while True:
-            connection, _ = await sock.accept()
+            try:
+                connection, _ = await sock.accept()
+            except OSError as exc:
+                # Such as too many open files, which passes.
+                logs.warning('accept_failed', error=repr(exc))
+                await curio.sleep(ACCEPT_RETRY_S)
+                continue
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await curio.spawn(
                 _serve_connection,
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -1,5 +1,6 @@
 """Tests that each whole request gets an answer or a refusal."""
 
+import errno
 import socket
 import unittest
 from unittest import mock
@@ -10,6 +11,7 @@
 import curio.io
 
 from mangorock import catalog
+from mangorock import client
 from mangorock import daemon
 from mangorock import front
 from mangorock import http
@@ -416,6 +418,41 @@
     return bool(queue and queue.waiters)
 
 
+class Listeners(unittest.TestCase):
+    """Listening sockets whose ``accept`` fails for a moment."""
+
+    def test_listener_goes_on_after_a_failed_accept(self):
+        # The task ended, and each later connection stayed unanswered.
+        curio.run(self.check_failed_accept)
+
+    async def check_failed_accept(self):
+        async def answer(request, responder):
+            await responder.respond(200, b'')
+
+        listener = FailingListener(http.listen('127.0.0.1', 0)._socket)
+        host, port = listener.getsockname()
+        serving = await curio.spawn(http.serve, listener, answer, 100)
+        async with curio.timeout_after(5.0):
+            status, _ = await client.Client().call(
+                f'{host}:{port}', 'GET', '/'
+            )
+        await serving.cancel()
+        self.assertEqual(200, status)
+
+
+class FailingListener(curio.io.Socket):
+    """A listening socket whose first ``accept`` fails."""
+
+    has_failed = False
+
+    async def accept(self):
+        """Accept a connection; the first time there is no descriptor."""
+        if not self.has_failed:
+            self.has_failed = True
+            raise OSError(errno.EMFILE, 'Too many open files')
+        return await super().accept()
+
+
 def send_without_waiting(cluster):
     """Connect to the front and send a request, while no task runs."""
     caller = socket.create_connection(cluster.settings.caller_address)
