Count an answer of the daemon as begun only once its head is valid

Callers of the product's own interface saw their connection closed instead of an answer where the head to be written was malformed.

Class: a state is recorded before the step that it stands for is done.

Change: the head is validated first. Result: the test passes.

--- a/src/mangorock/http.py
+++ b/src/mangorock/http.py
@@ -63,18 +63,18 @@
             *headers,
         ]
         head = dict(head).items()
+        # Raises an error for a malformed head, which can still be replaced.
+        response = h11.Response(status_code=status, headers=list(head))
         self.is_started = True
-        data = self.conn.send(
-            h11.Response(status_code=status, headers=list(head))
-        )
+        data = self.conn.send(response)
         data += self.conn.send(h11.Data(data=body)) if body else b''
         data += self.conn.send(h11.EndOfMessage())
         await self._write(data)
 
     async def start(self, status, headers):
         """Send the status and headers of a streamed response."""
-        self.is_started = True
         response = h11.Response(status_code=status, headers=headers)
+        self.is_started = True
         await self._write(self.conn.send(response))
 
     async def send(self, data):
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -9,10 +9,12 @@
 import curio
 import curio.errors
 import curio.io
+import h11
 
 from mangorock import catalog
 from mangorock import client
 from mangorock import daemon
+from mangorock import errors
 from mangorock import front
 from mangorock import http
 from mangorock import ingress
@@ -230,6 +232,28 @@
                 wire.decode_answer = decode
         self.assertEqual(500, exchange.status)
 
+    def test_head_that_cannot_be_written_is_answered_by_the_daemon(self):
+        # As the one before, in the product's own daemon.
+        curio.run(self.check_malformed_head)
+
+    async def check_malformed_head(self):
+        async def answer(request, responder):
+            try:
+                await responder.respond(200, b'', [('x-line', 'a\r\nb')])
+            except h11.LocalProtocolError:
+                await http.send_error(responder, errors.Internal('failed'))
+
+        listener = http.listen('127.0.0.1', 0)
+        host, port = listener.getsockname()
+        serving = await curio.spawn(http.serve, listener, answer, 100)
+        try:
+            status, _ = await client.Client().call(
+                f'{host}:{port}', 'GET', '/'
+            )
+        finally:
+            await serving.cancel()
+        self.assertEqual(500, status)
+
 
 class IdleConnections(unittest.TestCase):
     """Connections whose idle time is over."""
