Take the callers behind one that left before a stop closes the socket

Callers that connected as a planned stop ended were reset if another one that had connected before them was gone already.

Cause: Ingress.close gave up the connections that the system had accepted at the first error of accept, also if it was that of a single connection.

Change: an aborted connection is passed over. Result: the tests of listeners and of the end of a stop pass.

--- a/src/mangorock/ingress.py
+++ b/src/mangorock/ingress.py
@@ -178,6 +178,10 @@
                 accepted, _ = listener._socket.accept()
             except BlockingIOError:
                 break
+            except ConnectionAbortedError as exc:
+                # This caller left; others may be behind it.
+                logs.debug('accept_failed', error=repr(exc))
+                continue
             except OSError as exc:
                 logs.warning('accept_failed', error=repr(exc))
                 break
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -463,6 +463,28 @@
         await serving.cancel()
         self.assertEqual(200, status)
 
+    @test_front.run
+    async def test_callers_behind_one_that_left_are_answered_at_a_stop(self):
+        # The end of the listening socket cut those that came after it.
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        async with fleet.Fleet(worker) as cluster:
+            receiver = cluster.front.ingress
+            caller = send_without_waiting(cluster)
+            raw = receiver.listener._socket
+            failures = [ConnectionAbortedError('reset before accept')]
+
+            def accept():
+                if failures:
+                    raise failures.pop()
+                return raw.accept()
+
+            receiver.listener._socket = mock.Mock(wraps=raw, accept=accept)
+            await receiver.close()
+            async with curio.timeout_after(5.0):
+                answer = await caller.recv(4096)
+            await caller.close()
+        self.assertIn(b'200', answer.partition(b'\r\n')[0])
+
 
 class FailingListener(curio.io.Socket):
     """A listening socket whose first ``accept`` fails."""
