Hold a server to its time limit also behind a late answer

Callers of repeatable requests were answered only after their deadline where a server sent the answer to an earlier request first and then was silent.

Cause: set the limit for each read, but not for those that skip a late answer. The deadline of the request then ended them instead; it was taken for the silence of the server, and the request was repeated without a deadline. Class: a timeout is attributed by its type instead of by whose it is.

Change: both reads go through the timer.

--- a/src/mangorock/client.py
+++ b/src/mangorock/client.py
@@ -113,13 +113,12 @@
             for name, value in event.headers
         }
 
-    async def skip_response(self):
-        """Skip the current response and read the head of the next one.
+    def expect_response(self):
+        """Prepare to read another response, after this one was read.
 
         Needed if a server sends the late response to an earlier request
         before the response to this one.
         """
-        await self.read()
         rest, is_closed = self.conn.trailing_data
         self.conn = h11.Connection(h11.CLIENT)
         self.conn.send(self.request)
@@ -128,7 +127,6 @@
             self.conn.receive_data(rest)
         if is_closed:
             self.conn.receive_data(b'')
-        await self.read_head()
 
     async def _next_event(self):
         while True:
--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -265,7 +265,9 @@
                 raise InvalidAnswer(
                     'too many answers to other requests on the connection'
                 )
-            await exchange.skip_response()
+            await timer.read(exchange.read)
+            exchange.expect_response()
+            await timer.read(exchange.read_head)
             answer = self._decode_head(exchange)
         now = time.monotonic()
         latency_s = now - sent_s
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -26,6 +26,8 @@
 CHUNKED = b'Transfer-Encoding: chunked'
 # Longer than a silent stream is waited for before it is resumed.
 SILENCE_S = 1.5
+# The deadline that callers send unless they say otherwise.
+DEADLINE_S = 1.4
 # More requests than any server may have in flight.
 MANY = 1000
 
@@ -137,6 +139,30 @@
         self.assertLess(passed_s, SILENCE_S)
         self.assertEqual(2, sum_received(servers))
 
+    @test_front.run
+    async def test_silent_server_is_given_up_after_a_foreign_answer(self):
+        # The time limit did not hold for the head behind a late answer.
+        received = []
+
+        def answer(request):
+            received.append(request)
+            if len(received) > 1:
+                return workers.whole_response(request)
+            late = workers.whole_response(request, request_id='another')
+            return [late, SILENCE_S, workers.whole_response(request)]
+
+        servers = [
+            workers.Worker('w1', 'desk', answer),
+            workers.Worker('w2', 'desk', answer),
+        ]
+        async with fleet.Fleet(*servers) as cluster:
+            started_s = await curio.clock()
+            exchange, body = await cluster.request('GET', '/look/')
+            passed_s = await curio.clock() - started_s
+        self.assertEqual((200, b'done'), (exchange.status, body))
+        self.assertEqual(2, len(received))
+        self.assertLess(passed_s, DEADLINE_S)
+
 
 class ResumedStreams(unittest.TestCase):
     """Streams whose server broke off and that go on elsewhere."""
