Tell the deadline of a request apart from the silence of its server

Streams whose caller read slowly were sent to another server after their deadline, and the sound server that they came from was blamed for silence.

Cause: the sender took every TaskTimeout for that of its own limit. A write to the caller has none, so there it is the deadline of the request; the stream counted as broken and was resumed behind an event that was written in part.

Change: SilenceTimer raises ServerSilent, and every TaskTimeout goes on to the gateway. The write of a request has no limit but the deadline, since a write that was cut cannot be repeated.

--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -27,6 +27,14 @@
 RECHECK_S = 0.2
 
 
+class ServerSilent(Exception):
+    """A server was silent for too long and is given up.
+
+    Unlike `curio.errors.TaskTimeout`, it cannot stand for the deadline of
+    the request, which may pass in a step that has no limit of its own.
+    """
+
+
 class InvalidAnswer(Exception):
     """The bytes received are not a valid answer to this request."""
 
@@ -121,7 +129,7 @@
     async def read(self, read):
         """Return the result of ``read()``, which is repeated if needed.
 
-        Raises `curio.errors.TaskTimeout` if the server is given up.
+        Raises `ServerSilent` if the server is given up.
         """
         while True:
             try:
@@ -129,7 +137,7 @@
                     return await read()
             except curio.errors.TaskTimeout:
                 if self.may_give_up():
-                    raise
+                    raise ServerSilent(f'no answer in {self.limit_s} s')
                 waited_s = time.monotonic() - self.since_s
                 self.limit_s = waited_s + RECHECK_S
 
@@ -162,7 +170,7 @@
             body = await timer.read(exchange.read)
         except (OSError, h11.ProtocolError, InvalidAnswer) as exc:
             return self._broken_outcome(dispatch, exc)
-        except curio.errors.TaskTimeout:
+        except ServerSilent:
             return self._broken_outcome(dispatch, 'silent')
         finally:
             await self._close_exchange(exchange, dispatch)
@@ -202,7 +210,7 @@
             if relay.is_caller_gone:
                 raise
             return self._broken_outcome(dispatch, exc)
-        except curio.errors.TaskTimeout:
+        except ServerSilent:
             return self._broken_outcome(dispatch, 'silent')
         finally:
             await self._close_exchange(exchange, dispatch)
@@ -246,10 +254,9 @@
         """
         sent_s = time.monotonic()
         headers = self.wire.encode_headers(request, dispatch)
-        async with time_limit(timer.left_s):
-            await exchange.write(
-                request.method, request.target, headers, request.body
-            )
+        await exchange.write(
+            request.method, request.target, headers, request.body
+        )
         await timer.read(exchange.read_head)
         answer = self._decode_head(exchange)
         foreign_answers = 0
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -468,6 +468,46 @@
     return bool(queue and queue.waiters)
 
 
+class SlowCallers(unittest.TestCase):
+    """Callers that read their answer slower than it comes."""
+
+    @test_front.run
+    async def test_stream_of_a_caller_that_does_not_read_ends_in_time(self):
+        # The deadline was taken for the server's silence, so the stream was
+        # resumed without a deadline, behind a half-written event.
+        servers = [
+            workers.Worker('d1', 'llm', send_long_events),
+            workers.Worker('d2', 'llm', send_long_events),
+        ]
+        async with fleet.Fleet(*servers, config=make_config()) as cluster:
+            receiver = cluster.front.ingress
+            exchange = await cluster.open()
+            await exchange.write(
+                'POST',
+                '/read/',
+                [
+                    ('host', fleet.HOST),
+                    ('x-request-id', 'slow'),
+                    ('x-deadline-ms', '500'),
+                    *fleet.prompt_headers(),
+                ],
+                b'q',
+            )
+            await fleet.wait_until(lambda: receiver.in_flight)
+            await fleet.wait_until(lambda: not receiver.in_flight)
+            await cluster.client.discard(exchange)
+        self.assertEqual(1, sum_received(servers))
+
+
+def send_long_events(request):
+    """Return a stream that is longer than what sockets buffer."""
+    parts = [workers.response_head(request, CHUNKED)]
+    for number in range(1, 200):
+        event = b'id: %d\ndata: %s\n\n' % (number, b'x' * 60000)
+        parts.append(b'%x\r\n%s\r\n' % (len(event), event))
+    return [*parts, b'0\r\n\r\n']
+
+
 class Listeners(unittest.TestCase):
     """Listening sockets whose ``accept`` fails for a moment."""
 
