Ask the VM's own scheduler again for a prompt that waits there

Callers whose prompt waited at the scheduler of their own entry VM got nothing until their deadline if a changed configuration had removed its service, or if an error had ended the assignment of the waiting prompts.

Cause: a prompt that waits at another VM is asked for again every 0.2 s, one at the own VM waited for an answer without a limit. A service without a scheduler is dropped from the waiting ones with its prompts. Class: what waits is given up without a word to those who wait.

Change: prompts at the own scheduler are asked for again too.

--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -204,7 +204,7 @@
         pending = self.pending_replies[number] = PendingReply()
         try:
             if peer is None:
-                answer = await self._ask_here(request, pending)
+                answer = await self._ask_here(make_request, pending)
             else:
                 answer = await self._ask_peer(
                     make_request, number, pending, peer
@@ -219,12 +219,15 @@
                     )
                 )
 
-    async def _ask_here(self, request, pending):
+    async def _ask_here(self, make_request, pending):
         """Return the answer of this VM's own scheduler."""
-        answer = await self._place(request, pending)
-        if isinstance(answer, messages.Queued):
-            return await pending.take()
-        return answer
+        while True:
+            answer = await self._place(make_request(), pending)
+            if isinstance(answer, messages.Queued):
+                answer = await pending.take(REFRESH_S)
+                if answer is None:
+                    continue
+            return answer
 
     async def _ask_peer(self, make_request, number, pending, peer):
         """Return the answer of another VM, or None if it is silent."""
@@ -422,13 +425,10 @@
             self.message = message
             await self.event.set()
 
-    async def take(self, seconds=None):
+    async def take(self, seconds):
         """Return the next answer, or None after ``seconds``."""
-        if seconds is None:
+        async with curio.ignore_after(seconds):
             await self.event.wait()
-        else:
-            async with curio.ignore_after(seconds):
-                await self.event.wait()
         self.event.clear()
         message, self.message = self.message, None
         return message
--- a/tests/test_consultation.py
+++ b/tests/test_consultation.py
@@ -274,6 +274,30 @@
 
         self.run_with_endpoints(body)
 
+    def test_prompt_of_a_removed_service_does_not_wait(self):
+        # A prompt at the own scheduler waited until its deadline.
+        async def body(answering, requesting, found):
+            services = {'s': found}
+            answering.schedulers = services.get
+            for number in range(6):
+                await answering.ask(
+                    lambda: test_scheduler.make_request('r%d' % number)
+                )
+            waiting = await curio.spawn(
+                answering.ask,
+                lambda: test_scheduler.make_request(
+                    'late', target_left_s=9.0, left_s=9.0
+                ),
+            )
+            async with curio.timeout_after(1.0):
+                while 'late' not in found.backlog.prompts:
+                    await curio.sleep(0.005)
+            services.clear()
+            async with curio.timeout_after(2.0):
+                self.assertIsNone(await waiting.join())
+
+        self.run_with_endpoints(body)
+
     def test_malformed_datagram_is_skipped(self):
         async def body(answering, requesting, found):
             peers = requesting.directory.peers.values()
