Resume a stream without a prefill that its retry budget denies

Callers saw a begun stream reset within some ms after its server broke off, although another server had room.

Cause: the retry budget paid for the resumption, but not for the prefill at an engine of its own; that was denied, and three more placements with the same prefill were denied at once.

Change: a begun stream goes without the prefill then, and its decode engine prefills the prompt itself.

--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -167,6 +167,9 @@
         gateway, context = self.gateway, self.context
         while True:
             placed = await self._choose_placement()
+            if self.relay.reply.is_started and not self._may_prefill():
+                # The decode engine prefills, which is slow but no failure.
+                placed = attrs.evolve(placed, prefill=None)
             context.record_placement(placed.servers)
             try:
                 outcome = await self._attempt(placed)
@@ -355,6 +358,12 @@
         balance = self.gateway.retry_budget.balance
         return placed if balance >= retries else None
 
+    def _may_prefill(self):
+        if not self.prefill_attempts:
+            return True
+        balance = self.gateway.retry_budget.balance
+        return self.prefill_attempts < MAX_PREFILL_ATTEMPTS and balance >= 1.0
+
     def _make_demand(self):
         route = self.context.route
         return placement.Demand(
@@ -435,12 +444,10 @@
 
     async def _request_prefill(self, server, affinity_server):
         gateway, context = self.gateway, self.context
+        if not self._may_prefill():
+            return None
         if self.prefill_attempts:
-            if (
-                self.prefill_attempts >= MAX_PREFILL_ATTEMPTS
-                or not gateway.retry_budget.spend()
-            ):
-                return None
+            gateway.retry_budget.spend()
             gateway.metrics.count_retry(metrics.RetryReason.PREFILL)
         self.prefill_attempts += 1
         dispatch = gateway.make_dispatch(
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -197,6 +197,33 @@
             self.assertEqual(4, await stream.join())
         self.assertEqual(2, sum_received(servers))
 
+    @test_front.run
+    async def test_resumed_stream_goes_on_without_budget_for_a_prefill(self):
+        # The budget was spent by the resumption, so each prefill was denied.
+        def prefill(request):
+            body = b'{"handle":"h1","tokens":9}'
+            return workers.whole_response(request, body)
+
+        def break_off(request):
+            if 'last-event-id' in request.headers:
+                return workers.stream_response(request)
+            head = workers.response_head(request, CHUNKED)
+            return [head + workers.event_chunks(1, 2), 0.1, workers.CLOSE]
+
+        servers = [
+            workers.Worker('p1', 'llm', prefill, stage='prefill'),
+            workers.Worker('d1', 'llm', break_off, stage='decode'),
+            workers.Worker('d2', 'llm', break_off, stage='decode'),
+        ]
+        long_prompt = fleet.prompt_headers(9000, 'doc:7000,own:2900')
+        async with fleet.Fleet(*servers, config=make_config()) as cluster:
+            budget = cluster.front.gateway.retry_budget
+            budget.balance, budget.share = 1.0, 0.0
+            events = await read_stream(cluster, *long_prompt)
+        self.assertEqual(4, events)
+        prefills = [r for r in servers[0].received if r.method == 'POST']
+        self.assertEqual(1, len(prefills))
+
 
 def sum_received(servers):
     """Return how many requests some workers have received."""
