--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -207,7 +207,7 @@
         pending = self.pending_replies[number] = replies.PendingReply()
         try:
             if peer is None:
-                answer = await self._ask_here(request, pending)
+                answer = await self._ask_here(make_request, pending)
             else:
                 answer = await self._ask_peer(
                     make_request, number, pending, peer
@@ -222,12 +222,15 @@
                     )
                 )
 
-    async def _ask_here(self, request, pending):
+    async def _ask_here(self, make_request, pending):
         """Return the answer of this VM's own scheduler."""
-        answer = await self._place(request, pending)
-        if isinstance(answer, messages.Queued):
-            return await pending.take()
-        return answer
+        while True:
+            answer = await self._place(make_request(), pending)
+            if isinstance(answer, messages.Queued):
+                answer = await pending.take(REFRESH_S)
+                if answer is None:
+                    continue
+            return answer
 
     async def _ask_peer(self, make_request, number, pending, peer):
         """Return the answer of another VM, or None if it is silent."""
--- a/src/mangorock/replies.py
+++ b/src/mangorock/replies.py
@@ -27,13 +27,10 @@
             self.message = message
             await self.event.set()
 
-    async def take(self, seconds=None):
+    async def take(self, seconds):
         """Return the next answer, or None after ``seconds``."""
-        if seconds is None:
+        async with curio.ignore_after(seconds):
             await self.event.wait()
-        else:
-            async with curio.ignore_after(seconds):
-                await self.event.wait()
         self.event.clear()
         message, self.message = self.message, None
         return message
--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -98,7 +98,7 @@
             body = await timer.read(exchange.read)
         except (OSError, h11.ProtocolError, InvalidAnswer) as exc:
             return self._broken_outcome(dispatch, exc)
-        except curio.errors.TaskTimeout:
+        except silence.ServerSilent:
             return self._broken_outcome(dispatch, 'silent')
         finally:
             await self._close_exchange(exchange, dispatch)
@@ -138,7 +138,7 @@
             if relay.is_caller_gone:
                 raise
             return self._broken_outcome(dispatch, exc)
-        except curio.errors.TaskTimeout:
+        except silence.ServerSilent:
             return self._broken_outcome(dispatch, 'silent')
         finally:
             await self._close_exchange(exchange, dispatch)
@@ -182,10 +182,9 @@
         """
         sent_s = time.monotonic()
         headers = self.wire.encode_headers(request, dispatch)
-        async with silence.time_limit(timer.left_s):
-            await exchange.write(
-                request.method, request.target, headers, request.body
-            )
+        await exchange.write(
+            request.method, request.target, headers, request.body
+        )
         await timer.read(exchange.read_head)
         answer = self._decode_head(exchange)
         foreign_answers = 0
@@ -201,7 +200,9 @@
                 raise InvalidAnswer(
                     'too many answers to other requests on the connection'
                 )
-            await exchange.skip_response()
+            await timer.read(exchange.read)
+            exchange.expect_response()
+            await timer.read(exchange.read_head)
             answer = self._decode_head(exchange)
         now = time.monotonic()
         latency_s = now - sent_s
--- a/src/mangorock/silence.py
+++ b/src/mangorock/silence.py
@@ -30,6 +30,14 @@
 RECHECK_S = 0.2
 
 
+class ServerSilent(Exception):
+    """A server was silent for too long and is given up.
+
+    Unlike `curio.errors.TaskTimeout`, it cannot stand for the deadline of
+    the request, which may pass in a step that has no limit of its own.
+    """
+
+
 @attrs.frozen
 class SilenceLimits:
     """How long a server may be silent before its first event and later.
@@ -77,7 +85,7 @@
     async def read(self, read):
         """Return the result of ``read()``, which is repeated if needed.
 
-        Raises `curio.errors.TaskTimeout` if the server is given up.
+        Raises `ServerSilent` if the server is given up.
         """
         while True:
             try:
@@ -85,7 +93,7 @@
                     return await read()
             except curio.errors.TaskTimeout:
                 if self.may_give_up():
-                    raise
+                    raise ServerSilent(f'no answer in {self.limit_s} s')
                 waited_s = time.monotonic() - self.since_s
                 self.limit_s = waited_s + RECHECK_S
 
--- a/tests/test_interrupted.py
+++ b/tests/test_interrupted.py
@@ -56,11 +56,14 @@
                 [sys.executable, str(fleet.ROOT / 'platform' / 'serve.py')],
                 env={**os.environ, 'MANGOROCK_BOOT': str(path)},
                 stdout=subprocess.PIPE,
-                stderr=subprocess.DEVNULL,
+                stderr=subprocess.STDOUT,
             )
             with process:
-                while b'event=started' not in process.stdout.readline():
-                    self.assertIsNone(process.poll())
+                lines = [process.stdout.readline()]
+                while b'event=started' not in lines[-1]:
+                    # No line is left only of a process that has ended.
+                    self.assertTrue(lines[-1], b''.join(lines))
+                    lines.append(process.stdout.readline())
                 for number in numbers:
                     process.send_signal(number)
                     end_s = time.perf_counter() + rng.uniform(0.0, 0.0003)
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -1,5 +1,6 @@
 """Tests that each whole request gets an answer or a refusal."""
 
+import errno
 import socket
 import unittest
 from unittest import mock
@@ -8,9 +9,12 @@
 import curio
 import curio.errors
 import curio.io
+import h11
 
 from mangorock import catalog
+from mangorock import client
 from mangorock import daemon
+from mangorock import errors
 from mangorock import front
 from mangorock import http
 from mangorock import ingress
@@ -22,6 +26,8 @@
 CHUNKED = b'Transfer-Encoding: chunked'
 # Longer than a silent stream is waited for before it is resumed.
 SILENCE_S = 1.5
+# The deadline that callers send unless they say otherwise.
+DEADLINE_S = 1.4
 # More requests than any server may have in flight.
 MANY = 1000
 
@@ -49,11 +55,11 @@
     return config
 
 
-async def read_stream(cluster, *prompt_headers):
+async def read_stream(cluster, *prompt_headers, path='/read/'):
     """Return the number of events that a caller of the route gets."""
     _, body = await cluster.request(
         'POST',
-        '/read/',
+        path,
         ('x-deadline-ms', '6000'),
         *(prompt_headers or fleet.prompt_headers()),
         body=b'q',
@@ -133,6 +139,30 @@
         self.assertLess(passed_s, SILENCE_S)
         self.assertEqual(2, sum_received(servers))
 
+    @test_front.run
+    async def test_silent_server_is_given_up_after_a_foreign_answer(self):
+        # The time limit did not hold for the head behind a late answer.
+        received = []
+
+        def answer(request):
+            received.append(request)
+            if len(received) > 1:
+                return workers.whole_response(request)
+            late = workers.whole_response(request, request_id='another')
+            return [late, SILENCE_S, workers.whole_response(request)]
+
+        servers = [
+            workers.Worker('w1', 'desk', answer),
+            workers.Worker('w2', 'desk', answer),
+        ]
+        async with fleet.Fleet(*servers) as cluster:
+            started_s = await curio.clock()
+            exchange, body = await cluster.request('GET', '/look/')
+            passed_s = await curio.clock() - started_s
+        self.assertEqual((200, b'done'), (exchange.status, body))
+        self.assertEqual(2, len(received))
+        self.assertLess(passed_s, DEADLINE_S)
+
 
 class ResumedStreams(unittest.TestCase):
     """Streams whose server broke off and that go on elsewhere."""
@@ -167,6 +197,33 @@
             self.assertEqual(4, await stream.join())
         self.assertEqual(2, sum_received(servers))
 
+    @test_front.run
+    async def test_resumed_stream_goes_on_without_budget_for_a_prefill(self):
+        # The budget was spent by the resumption, so each prefill was denied.
+        def prefill(request):
+            body = b'{"handle":"h1","tokens":9}'
+            return workers.whole_response(request, body)
+
+        def break_off(request):
+            if 'last-event-id' in request.headers:
+                return workers.stream_response(request)
+            head = workers.response_head(request, CHUNKED)
+            return [head + workers.event_chunks(1, 2), 0.1, workers.CLOSE]
+
+        servers = [
+            workers.Worker('p1', 'llm', prefill, stage='prefill'),
+            workers.Worker('d1', 'llm', break_off, stage='decode'),
+            workers.Worker('d2', 'llm', break_off, stage='decode'),
+        ]
+        long_prompt = fleet.prompt_headers(9000, 'doc:7000,own:2900')
+        async with fleet.Fleet(*servers, config=make_config()) as cluster:
+            budget = cluster.front.gateway.retry_budget
+            budget.balance, budget.share = 1.0, 0.0
+            events = await read_stream(cluster, *long_prompt)
+        self.assertEqual(4, events)
+        prefills = [r for r in servers[0].received if r.method == 'POST']
+        self.assertEqual(1, len(prefills))
+
 
 def sum_received(servers):
     """Return how many requests some workers have received."""
@@ -228,6 +285,28 @@
                 wire.decode_answer = decode
         self.assertEqual(500, exchange.status)
 
+    def test_head_that_cannot_be_written_is_answered_by_the_daemon(self):
+        # As the one before, in the product's own daemon.
+        curio.run(self.check_malformed_head)
+
+    async def check_malformed_head(self):
+        async def answer(request, responder):
+            try:
+                await responder.respond(200, b'', [('x-line', 'a\r\nb')])
+            except h11.LocalProtocolError:
+                await http.send_error(responder, errors.Internal('failed'))
+
+        listener = http.listen('127.0.0.1', 0)
+        host, port = listener.getsockname()
+        serving = await curio.spawn(http.serve, listener, answer, 100)
+        try:
+            status, _ = await client.Client().call(
+                f'{host}:{port}', 'GET', '/'
+            )
+        finally:
+            await serving.cancel()
+        self.assertEqual(500, status)
+
 
 class IdleConnections(unittest.TestCase):
     """Connections whose idle time is over."""
@@ -352,6 +431,167 @@
             await cluster.client.discard(exchange)
 
 
+class WaitingBehindAResumedStream(unittest.TestCase):
+    """New requests while a stream that broke off waits for its turn."""
+
+    @test_front.run
+    async def test_new_request_is_served_by_the_server_that_broke_off(self):
+        # It waited behind a stream that may not use the only free server.
+        def break_off_once(request):
+            if request.target == '/read/first':
+                head = workers.response_head(request, CHUNKED)
+                return [head + workers.event_chunks(1, 2), 0.1, workers.CLOSE]
+            return workers.stream_response(request)
+
+        servers = [
+            workers.Worker('d1', 'llm', break_off_once),
+            workers.Worker('d2', 'llm', break_off_once),
+        ]
+        async with fleet.Fleet(*servers, config=make_config()) as cluster:
+            gateway = cluster.front.gateway
+            fill(gateway, 'd2')
+            stream = await curio.spawn(
+                lambda: read_stream(cluster, path='/read/first')
+            )
+            await fleet.wait_until(lambda: has_waiter(gateway))
+            self.assertEqual(4, await read_stream(cluster))
+            self.assertTrue(has_waiter(gateway))
+            await stream.cancel()
+        self.assertEqual(2, len(servers[0].received))
+
+
+class LateServers(unittest.TestCase):
+    """Streams that broke off while no other server is known."""
+
+    @test_front.run
+    async def test_resumed_stream_waits_for_a_server_that_registers(self):
+        # It was reset at once, though its caller was still patient.
+        def break_off(request):
+            head = workers.response_head(request, CHUNKED)
+            return [head + workers.event_chunks(1, 2), 0.1, workers.CLOSE]
+
+        first = workers.Worker('d1', 'llm', break_off)
+        late = workers.Worker('d2', 'llm', workers.stream_response)
+        async with fleet.Fleet(first, config=make_config()) as cluster:
+            await late.start()
+            gateway = cluster.front.gateway
+            stream = await curio.spawn(read_stream, cluster)
+            await fleet.wait_until(lambda: has_waiter(gateway))
+            cluster.store.put('servers/d2', late.entry())
+            self.assertEqual(4, await stream.join())
+            await late.close()
+
+
+def fill(gateway, server_id):
+    """Have a server count as full."""
+    for server in gateway.registry.servers.values():
+        if server.server_id == server_id:
+            gateway.placer.load(server).in_flight += MANY
+
+
+def has_waiter(gateway):
+    """Say whether a request of the streams' service waits in the queue."""
+    queue = gateway.wait_queues.get('llm')
+    return bool(queue and queue.waiters)
+
+
+class SlowCallers(unittest.TestCase):
+    """Callers that read their answer slower than it comes."""
+
+    @test_front.run
+    async def test_stream_of_a_caller_that_does_not_read_ends_in_time(self):
+        # The deadline was taken for the server's silence, so the stream was
+        # resumed without a deadline, behind a half-written event.
+        servers = [
+            workers.Worker('d1', 'llm', send_long_events),
+            workers.Worker('d2', 'llm', send_long_events),
+        ]
+        async with fleet.Fleet(*servers, config=make_config()) as cluster:
+            receiver = cluster.front.ingress
+            exchange = await cluster.open()
+            await exchange.write(
+                'POST',
+                '/read/',
+                [
+                    ('host', fleet.HOST),
+                    ('x-request-id', 'slow'),
+                    ('x-deadline-ms', '500'),
+                    *fleet.prompt_headers(),
+                ],
+                b'q',
+            )
+            await fleet.wait_until(lambda: receiver.in_flight)
+            await fleet.wait_until(lambda: not receiver.in_flight)
+            await cluster.client.discard(exchange)
+        self.assertEqual(1, sum_received(servers))
+
+
+def send_long_events(request):
+    """Return a stream that is longer than what sockets buffer."""
+    parts = [workers.response_head(request, CHUNKED)]
+    for number in range(1, 200):
+        event = b'id: %d\ndata: %s\n\n' % (number, b'x' * 60000)
+        parts.append(b'%x\r\n%s\r\n' % (len(event), event))
+    return [*parts, b'0\r\n\r\n']
+
+
+class Listeners(unittest.TestCase):
+    """Listening sockets whose ``accept`` fails for a moment."""
+
+    def test_listener_goes_on_after_a_failed_accept(self):
+        # The task ended, and each later connection stayed unanswered.
+        curio.run(self.check_failed_accept)
+
+    async def check_failed_accept(self):
+        async def answer(request, responder):
+            await responder.respond(200, b'')
+
+        listener = FailingListener(http.listen('127.0.0.1', 0)._socket)
+        host, port = listener.getsockname()
+        serving = await curio.spawn(http.serve, listener, answer, 100)
+        async with curio.timeout_after(5.0):
+            status, _ = await client.Client().call(
+                f'{host}:{port}', 'GET', '/'
+            )
+        await serving.cancel()
+        self.assertEqual(200, status)
+
+    @test_front.run
+    async def test_callers_behind_one_that_left_are_answered_at_a_stop(self):
+        # The end of the listening socket cut those that came after it.
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        async with fleet.Fleet(worker) as cluster:
+            receiver = cluster.front.ingress
+            caller = send_without_waiting(cluster)
+            raw = receiver.listener._socket
+            failures = [ConnectionAbortedError('reset before accept')]
+
+            def accept():
+                if failures:
+                    raise failures.pop()
+                return raw.accept()
+
+            receiver.listener._socket = mock.Mock(wraps=raw, accept=accept)
+            await receiver.close()
+            async with curio.timeout_after(5.0):
+                answer = await caller.recv(4096)
+            await caller.close()
+        self.assertIn(b'200', answer.partition(b'\r\n')[0])
+
+
+class FailingListener(curio.io.Socket):
+    """A listening socket whose first ``accept`` fails."""
+
+    has_failed = False
+
+    async def accept(self):
+        """Accept a connection; the first time there is no descriptor."""
+        if not self.has_failed:
+            self.has_failed = True
+            raise OSError(errno.EMFILE, 'Too many open files')
+        return await super().accept()
+
+
 def send_without_waiting(cluster):
     """Connect to the front and send a request, while no task runs."""
     caller = socket.create_connection(cluster.settings.caller_address)
