--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -31,9 +31,18 @@
 """
 
 
+def own_address():
+    """Return a loopback address that concurrent runs do not share.
+
+    A VM listens on a fixed port for its metrics.
+    """
+    pid = os.getpid()
+    return f'127.{1 + pid // 250 % 250}.{pid % 250}.9'
+
+
 def make_settings():
     """Return the fields of a settings file."""
-    address = '127.0.0.1'
+    address = own_address()
     listen = {
         name: f'{address}:{ports.free_port()}' for name in ('front', 'ready')
     }
