Place a silent request that the scheduler rejects by the own VM

Callers got 502 after two fifths of their time although the server that had their request was sound and another one had room.

Cause: before a server is given up, this VM looks for room elsewhere; then the shared scheduler was asked, and its rejection, meant for requests that have not run, ended the request as one whose outcome is unknown. Only streams that had begun were placed by this VM then.

Change: a rejection ends only requests that have not run.

--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -236,7 +236,7 @@
                 self.is_notice_due = True
                 return self._resolve_assignment(assignment)
             case messages.Rejection(retry_after_s):
-                if self.relay.reply.is_started:
+                if self.relay.reply.is_started or context.may_have_run:
                     return None
                 raise refusals.no_answer_in_time(
                     context, gateway.spread(retry_after_s)
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -16,8 +16,10 @@
 from mangorock import daemon
 from mangorock import errors
 from mangorock import front
+from mangorock import gateway as gateways
 from mangorock import http
 from mangorock import ingress
+from mangorock import messages
 from mangorock import placement
 from tests import fleet
 from tests import test_front
@@ -139,6 +141,32 @@
         self.assertLess(passed_s, SILENCE_S)
         self.assertEqual(2, sum_received(servers))
 
+    @test_front.run
+    async def test_silent_request_goes_on_if_the_scheduler_rejects_it(self):
+        # It was given up to be repeated, and then refused as hopeless.
+        received = []
+
+        def answer(request):
+            received.append(request)
+            stream = workers.stream_response(request)
+            return [SILENCE_S, stream] if len(received) == 1 else stream
+
+        asked = []
+
+        async def ask(gateway, make_request):
+            asked.append(make_request())
+            return messages.Rejection(5.0) if len(asked) > 1 else None
+
+        servers = [
+            workers.Worker('d1', 'llm', answer),
+            workers.Worker('d2', 'llm', answer),
+        ]
+        long_prompt = fleet.prompt_headers(9000, 'doc:7000,own:2900')
+        async with fleet.Fleet(*servers, config=make_config()) as cluster:
+            with mock.patch.object(gateways.Gateway, 'ask_scheduler', ask):
+                self.assertEqual(4, await read_stream(cluster, *long_prompt))
+        self.assertEqual((2, 2), (len(asked), len(received)))
+
     @test_front.run
     async def test_silent_server_is_given_up_after_a_foreign_answer(self):
         # The time limit did not hold for the head behind a late answer.
