Keep a silent server where no time is left for another one

Callers got 502 some ms before they gave up although their server was sound: it was given up for silence, and the prefill elsewhere was refused as too late.

Cause: the check before a server is given up looked at room and retry budget, not at the time that the caller still waits.

Change: no replacement is offered if less time is left than a prefill must leave to the decode.

--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -345,10 +345,12 @@
         )
 
     def _place_replacement(self, servers):
-        """Return a placement for which the retry budget suffices, or None.
+        """Return a placement for which time and retry budget suffice, or None.
 
         Another prefill of the prompt is a retry of its own.
         """
+        if self._first_event_left_s() <= DECODE_RESERVE_S:
+            return None
         placed = self._place_on(servers)
         if placed is None or placed.prefill is None:
             return placed
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -17,6 +17,7 @@
 from mangorock import errors
 from mangorock import front
 from mangorock import gateway as gateways
+from mangorock import generation
 from mangorock import http
 from mangorock import ingress
 from mangorock import messages
@@ -167,6 +168,28 @@
                 self.assertEqual(4, await read_stream(cluster, *long_prompt))
         self.assertEqual((2, 2), (len(asked), len(received)))
 
+    @test_front.run
+    async def test_silent_server_is_kept_if_no_time_is_left_for_another(self):
+        # It was given up, and the prefill elsewhere was then too late.
+        def prefill(request):
+            body = b'{"handle":"h1","tokens":9}'
+            return workers.whole_response(request, body)
+
+        def answer(request):
+            return [SILENCE_S, workers.stream_response(request)]
+
+        servers = [
+            workers.Worker('p1', 'llm', prefill, stage='prefill'),
+            workers.Worker('d1', 'llm', answer, stage='decode'),
+            workers.Worker('d2', 'llm', answer, stage='decode'),
+        ]
+        long_prompt = fleet.prompt_headers(9000, 'doc:7000,own:2900')
+        async with fleet.Fleet(*servers, config=make_config()) as cluster:
+            cluster.front.gateway.retry_budget.balance = 5.0
+            with mock.patch.object(generation, 'DECODE_RESERVE_S', 1.2):
+                self.assertEqual(4, await read_stream(cluster, *long_prompt))
+        self.assertEqual(1, sum_received(servers[1:]))
+
     @test_front.run
     async def test_silent_server_is_given_up_after_a_foreign_answer(self):
         # The time limit did not hold for the head behind a late answer.
