--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -125,7 +125,7 @@
                 self.is_notice_due = True
                 return self._resolve_assignment(assignment)
             case messages.Rejection(retry_after_s):
-                if self.relay.reply.is_started:
+                if self.relay.reply.is_started or context.may_have_run:
                     return None
                 raise refusals.no_answer_in_time(
                     context, gateway.spread(retry_after_s)
@@ -235,10 +235,12 @@
         )
 
     def _place_replacement(self, servers):
-        """Return a placement for which the retry budget suffices, or None.
+        """Return a placement for which time and retry budget suffice, or None.
 
         Another prefill of the prompt is a retry of its own.
         """
+        if self._first_event_left_s() <= DECODE_RESERVE_S:
+            return None
         placed = self._place_on(servers)
         if placed is None or placed.prefill is None:
             return placed
