Read the stored quarantines by cheap listings

A watch of the quarantines on every VM cost the store as many calls as that of the configuration, also while nothing is refused: on the grown site (85 VMs) calls to the store were the dearest price. A listing lifts a quarantine only if it is not older than its key. Decisions are made for a bounded number of rounds after each new evidence, so that unclear evidence is not weighed on without end.

--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -158,11 +158,7 @@
         )
         isolated = isolation.Isolation(self.gateway, store)
         self.gateway.isolation = isolated
-        await self._follow(
-            mirror.Mirror(isolation.PREFIX),
-            isolated.on_listing,
-            isolated.on_events,
-        )
+        await self.spawn(isolated.follow)
         await self.spawn(isolated.run)
         await self._start_vm_discovery(store)
         await self.spawn(self._prune)
--- a/src/mangorock/isolation.py
+++ b/src/mangorock/isolation.py
@@ -23,7 +23,6 @@
 from mangorock import evidence
 from mangorock import logs
 from mangorock import messages
-from mangorock import mirror
 from mangorock import presence
 from mangorock import quarantine as quarantines
 from mangorock import sending
@@ -32,7 +31,7 @@
 # Requests that a crash ended are noticed within this time of each other.
 GATHER_S = 0.03
 RESEND_DELAY_S = 0.05
-DECIDE_INTERVAL_S = 0.05
+DECIDE_ROUNDS = 4
 EXPIRE_INTERVAL_S = 2.0
 # Answered parts are reported together.
 REPORT_DELAY_S = 0.05
@@ -44,6 +43,9 @@
 STORE_DELAY_S = (0.0, 0.4)
 STORE_OTHERS_DELAY_S = (2.0, 4.0)
 STORE_RETRY_S = (1.0, 2.0)
+# Interval at which the store is read, and after a failure at the start.
+LIST_INTERVAL_S = 2.5
+FIRST_RETRY_S = 0.5
 
 
 @attrs.define
@@ -58,7 +60,7 @@
     """Collects the evidence of this VM and carries out the decisions.
 
     ``gateway`` is the `gateway.Gateway`; its ``quarantine`` is the state.
-    ``store`` is the platform's.  `run` is to be spawned.
+    ``store`` is the platform's.  `run` and `follow` are to be spawned.
     """
 
     def __init__(self, gateway, store):
@@ -82,6 +84,7 @@
                 cleared = self.quarantine.on_served(prompt, now)
                 if cleared:
                     logs.event('part_cleared', parts=','.join(cleared))
+                    await self._note_evidence()
                     await self._report_served()
             case sending.Broken():
                 begun_at_s = context.begun_at_s or now
@@ -160,8 +163,7 @@
 
     async def _add_crash(self, incarnation, at_s, uses, now):
         self.quarantine.add_crash(incarnation, at_s, uses, now)
-        if self.quarantine.is_deciding:
-            await self.has_evidence.set()
+        await self._note_evidence()
         await self._report_served()
 
     async def _report_served(self):
@@ -199,6 +201,7 @@
             case messages.PartsServed(parts):
                 for part_id, age_s in parts:
                     self.quarantine.merge_served(part_id, now - age_s)
+                await self._note_evidence()
             case messages.PartQuarantined(part_id, term_s):
                 term_s = min(term_s, quarantines.MAX_TERM_S)
                 if self.quarantine.adopt(part_id, term_s, now):
@@ -211,13 +214,22 @@
             async with curio.ignore_after(EXPIRE_INTERVAL_S):
                 await self.has_evidence.wait()
             self.has_evidence.clear()
-            while self.quarantine.is_deciding:
-                await curio.sleep(DECIDE_INTERVAL_S)
-                for verdict in self.quarantine.decide(time.monotonic()):
-                    await self._carry_out(verdict)
+            if self.quarantine.is_deciding:
+                await self._decide()
             for part_id in self.quarantine.expire(time.monotonic()):
                 self._log_lifted(part_id, 'term')
 
+    async def _decide(self):
+        """Decide on the evidence until it has settled."""
+        for _ in range(DECIDE_ROUNDS):
+            await curio.sleep(quarantines.SETTLE_S / (DECIDE_ROUNDS - 1))
+            for verdict in self.quarantine.decide(time.monotonic()):
+                await self._carry_out(verdict)
+
+    async def _note_evidence(self):
+        if self.quarantine.is_deciding:
+            await self.has_evidence.set()
+
     async def _carry_out(self, verdict):
         self._broadcast(
             messages.PartQuarantined(verdict.part_id, verdict.term_s)
@@ -254,54 +266,79 @@
         """Store a quarantine unless another VM has done so."""
         rng = self.gateway.rng
         await curio.sleep(rng.uniform(*delay_s))
-        while True:
-            term = self.quarantine.quarantined.get(part_id)
-            left_s = self.quarantine.left_s(part_id, time.monotonic())
-            if term is None or term.is_stored or left_s <= 0.0:
-                return
+        while self.quarantine.is_unstored(part_id, time.monotonic()):
             try:
-                await self._create_key(part_id, term.term_s, left_s)
-                term.is_stored = True
-            except (
-                errors.PlatformUnavailable,
-                presence.LeaseLost,
-                mirror.HistoryLost,
-            ) as exc:
+                revision = await self._create_key(part_id)
+            except (errors.PlatformUnavailable, presence.LeaseLost) as exc:
                 logs.event(
                     'quarantine_not_stored', part=part_id, error=repr(exc)
                 )
                 await curio.sleep(rng.uniform(*STORE_RETRY_S))
+                continue
+            if revision is not None:
+                self.quarantine.on_stored(part_id, revision)
+            # Else another VM has stored it, and a listing tells when.
+            return
 
-    async def _create_key(self, part_id, term_s, left_s):
+    async def _create_key(self, part_id):
+        """Return the revision of the new key, None if the key exists."""
+        term = self.quarantine.quarantined[part_id]
+        left_s = self.quarantine.left_s(part_id, time.monotonic())
         lease = await self.store.grant_lease(left_s)
-        await self.store.create(PREFIX + part_id, encode_term(term_s), lease)
-
-    def on_listing(self, items):
-        """Take over the stored quarantines, and lift those that are not."""
-        listed = {item.key.removeprefix(PREFIX) for item in items}
-        for part_id, term in list(self.quarantine.quarantined.items()):
-            if term.is_stored and part_id not in listed:
-                self._lift(part_id)
-        self.on_events(items)
-
-    def on_events(self, events):
-        """Take over changes of the stored quarantines."""
+        return await self.store.create(
+            PREFIX + part_id, encode_term(term.term_s), lease
+        )
+
+    async def follow(self):
+        """Read the stored quarantines again and again, forever.
+
+        All but the first listing may be some seconds old, which costs the
+        store little: the datagrams are faster.
+        """
+        is_known = False
+        while True:
+            try:
+                items, revision = await self._list(is_stale_allowed=is_known)
+                await self.on_listing(items, revision)
+                is_known = True
+            except errors.PlatformUnavailable as exc:
+                # The mirrors log that the store is unavailable.
+                logs.debug('quarantines_not_read', error=exc.message)
+            except Exception as exc:
+                # Whatever one item or answer holds, the next may be read.
+                logs.exception(
+                    'store_not_followed', prefix=PREFIX, error=repr(exc)
+                )
+            wait_s = LIST_INTERVAL_S if is_known else FIRST_RETRY_S
+            await curio.sleep(
+                wait_s * (0.75 + 0.5 * self.gateway.rng.random())
+            )
+
+    async def _list(self, is_stale_allowed):
+        """Return all stored items and the revision of the first page."""
+        items, after, revision = [], '', None
+        while True:
+            page = await self.store.list_page(PREFIX, after, is_stale_allowed)
+            items += page.items
+            revision = page.revision if revision is None else revision
+            if not page.has_more or not page.items:
+                return items, revision
+            after = page.items[-1].key
+
+    async def on_listing(self, items, revision):
+        """Take over the stored quarantines, and lift those removed since."""
         now = time.monotonic()
-        for event in events:
-            part_id = event.key.removeprefix(PREFIX)
-            match event:
-                case mirror.Removal():
-                    self._lift(part_id)
-                case mirror.Item():
-                    term_s = decode_term(event)
-                    if term_s is not None and self.quarantine.adopt(
-                        part_id, term_s, now, is_stored=True
-                    ):
-                        self._enforce(part_id, term_s, 'store')
-
-    def _lift(self, part_id):
-        if self.quarantine.lift(part_id):
+        listed = {item.key.removeprefix(PREFIX): item for item in items}
+        for part_id in self.quarantine.removed(listed, revision):
+            self.quarantine.lift(part_id)
             self._log_lifted(part_id, 'store')
+        for part_id, item in listed.items():
+            term_s = decode_term(item)
+            if term_s is None:
+                continue
+            if self.quarantine.adopt(part_id, term_s, now, item.revision):
+                self._enforce(part_id, term_s, 'store')
+                await self.gateway.wake_waiters()
 
 
 def encode_term(term_s):
--- a/src/mangorock/quarantine.py
+++ b/src/mangorock/quarantine.py
@@ -55,12 +55,13 @@
 class Term:
     """The time until which a part is refused.
 
-    ``is_stored`` says that the platform's store has it too.
+    ``revision`` is that of its key in the platform's store, None if it is
+    not known to be there.
     """
 
     until_s: float
     term_s: float
-    is_stored: bool = False
+    revision: int | None = None
 
 
 @attrs.define
@@ -185,15 +186,16 @@
             len(chosen.prompt_ids),
         )
 
-    def adopt(self, part_id, term_s, now, is_stored=False):
+    def adopt(self, part_id, term_s, now, revision=None):
         """Refuse a part for ``term_s``; return whether that is new.
 
         A part that is refused already keeps its term.
         """
         if self.left_s(part_id, now) > 0.0:
-            self.quarantined[part_id].is_stored |= is_stored
+            if revision is not None:
+                self.on_stored(part_id, revision)
             return False
-        self.quarantined[part_id] = Term(now + term_s, term_s, is_stored)
+        self.quarantined[part_id] = Term(now + term_s, term_s, revision)
         self.last_terms_s.pop(part_id, None)
         self.last_terms_s[part_id] = term_s
         for table in (self.quarantined, self.last_terms_s):
@@ -203,6 +205,31 @@
         self._find_sufficient(now)
         return True
 
+    def on_stored(self, part_id, revision):
+        """Record that the store has the key of a part at a revision."""
+        if part_id in self.quarantined:
+            self.quarantined[part_id].revision = revision
+
+    def is_unstored(self, part_id, now):
+        """Say whether a part is refused and not known to be stored."""
+        return (
+            self.left_s(part_id, now) > 0.0
+            and self.quarantined[part_id].revision is None
+        )
+
+    def removed(self, listed, revision):
+        """Return the parts whose keys were removed before a listing.
+
+        A listing that is older than the key does not show that.
+        """
+        return [
+            part_id
+            for part_id, term in self.quarantined.items()
+            if part_id not in listed
+            and term.revision is not None
+            and term.revision <= revision
+        ]
+
     def lift(self, part_id):
         """Serve a part again; return whether it was refused."""
         if self.quarantined.pop(part_id, None) is None:
