Do not probe engines that are only silent

A silent attempt was given up by this VM; the connection that tells a crash from a broken answer is of no use there, and new connections are dear. The new test failed before. Two tests are sharpened: the one of a planned stop passed without the check that it guards, as its answer had gone on for too long to be evidence, and now fails without it; a request that waits while its part is recognised is refused at once.

--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -342,7 +342,7 @@
                 )
         except curio.errors.TaskTimeout:
             self.sender.record_failure(server)
-            return sending.Broken('silent')
+            return sending.Broken(sending.SILENT)
         context.record_outcome(outcome, may_have_run_before)
         return outcome
 
--- a/src/mangorock/isolation.py
+++ b/src/mangorock/isolation.py
@@ -86,7 +86,7 @@
                     logs.event('part_cleared', parts=','.join(cleared))
                     await self._note_evidence()
                     await self._report_served()
-            case sending.Broken():
+            case sending.Broken(error) if error != sending.SILENT:
                 begun_at_s = context.begun_at_s or now
                 uses = evidence.uses_of(prompt, context.sent_at_s)
                 if uses and now - begun_at_s < evidence.BEGUN_S:
--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -20,6 +20,8 @@
 # A request that must not run twice reuses an idle connection only if it was
 # used so recently that the server is unlikely to have closed it.
 MAX_UNSAFE_IDLE_S = 1.0
+# The error of an attempt that was given up because the server was silent.
+SILENT = 'silent'
 # Stands for no limit, as it is longer than any request.
 NO_LIMIT_S = 86400.0
 
@@ -146,7 +148,7 @@
                 raise
             return self._broken_outcome(dispatch, exc)
         except curio.errors.TaskTimeout:
-            return self._broken_outcome(dispatch, 'silent')
+            return self._broken_outcome(dispatch, SILENT)
         finally:
             await self._close_exchange(exchange, dispatch)
         self.outliers.on_success(dispatch.server)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,6 +1,7 @@
 """Tests how prompt parts that crash engines are recognised and refused."""
 
 import unittest
+from unittest import mock
 
 import attrs
 import curio
@@ -14,6 +15,7 @@
 from mangorock import isolation
 from mangorock import messages
 from mangorock import mirror
+from mangorock import placement
 from mangorock import quarantine
 from mangorock import traffic
 from tests import fleet
@@ -37,7 +39,7 @@
         super().__init__(name, 'llm', self.answer)
         self.store = store
         self.crashes = 0
-        self.crash_after_s = 0.02
+        self.answer_after_s = 0.0
         self.sockets = []
         self.restarts = []
 
@@ -51,7 +53,10 @@
             return workers.stream_response(request)
         chunked = b'Transfer-Encoding: chunked'
         head = workers.response_head(request, chunked)
-        return [head + workers.event_chunks(1, 1), self.crash_after_s, CRASH]
+        answer = [head + workers.event_chunks(1, 1), 0.02, CRASH]
+        return (
+            [self.answer_after_s, *answer] if self.answer_after_s else answer
+        )
 
     async def _serve(self, sock):
         self.sockets.append(sock)
@@ -589,13 +594,53 @@
 
         curio.run(main)
 
+    def test_waiting_request_is_refused_when_its_part_is_recognised(self):
+        """It waited for an engine that it would have crashed."""
+
+        async def main():
+            async with CrashingFleet(2) as cluster:
+                gateway = cluster.front.gateway
+                with mock.patch.object(
+                    placement.Placer, 'place_generation', return_value=None
+                ):
+                    task = await curio.spawn(cluster.ask, PART)
+                    queues = gateway.wait_queues
+                    await fleet.wait_until(
+                        lambda: any(q.waiters for q in queues.values())
+                    )
+                    decided = messages.PartQuarantined(PART, 60.0)
+                    await gateway.isolation.on_message(decided)
+                    async with curio.timeout_after(0.1):
+                        self.assertEqual(503, await task.join())
+                reason = errors.Reason.QUARANTINED.value
+                counts = cluster.front.metrics.counts
+                self.assertEqual(1, counts[f'refused.{reason}'])
+                self.assertEqual(0, cluster.arrivals)
+
+        curio.run(main)
+
+    def test_silent_engine_is_not_probed(self):
+        """New connections are dear, and a silent engine has not crashed."""
+
+        def hang(request):
+            return [3.0, workers.CLOSE]
+
+        async def main():
+            engine = workers.Worker('w1', 'llm', hang)
+            async with fleet.Fleet(engine) as cluster:
+                await request_whole(cluster, 'aa:55,bb:100,own:145')
+                self.assertEqual(1, len(engine.received))
+                self.assertFalse(cluster.front.gateway.isolation.losses)
+
+        curio.run(main)
+
     def test_engine_that_stops_as_planned_has_not_crashed(self):
         """It may end its last streams when its grace period is over."""
 
         async def main():
             async with CrashingFleet(2) as cluster:
                 for worker in cluster.workers:
-                    worker.crash_after_s = 0.3
+                    worker.answer_after_s = 0.3
                 task = await curio.spawn(cluster.ask, PART)
                 await fleet.wait_until(lambda: cluster.arrivals)
                 for worker in cluster.workers:
