--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -21,6 +21,8 @@
 # A request that must not run twice reuses an idle connection only if it was
 # used so recently that the server is unlikely to have closed it.
 MAX_UNSAFE_IDLE_S = 1.0
+# The error of an attempt that was given up because the server was silent.
+SILENT = 'silent'
 
 
 class InvalidAnswer(Exception):
@@ -99,7 +101,7 @@
         except (OSError, h11.ProtocolError, InvalidAnswer) as exc:
             return self._broken_outcome(dispatch, exc)
         except silence.ServerSilent:
-            return self._broken_outcome(dispatch, 'silent')
+            return self._broken_outcome(dispatch, SILENT)
         finally:
             await self._close_exchange(exchange, dispatch)
         if answer.has_not_run:
@@ -139,7 +141,7 @@
                 raise
             return self._broken_outcome(dispatch, exc)
         except silence.ServerSilent:
-            return self._broken_outcome(dispatch, 'silent')
+            return self._broken_outcome(dispatch, SILENT)
         finally:
             await self._close_exchange(exchange, dispatch)
         self.outliers.on_success(dispatch.server)
