End no begun stream before its caller leaves

Callers saw a begun stream reset a tenth of a second before they would have given it up.

Cause: the prefill of a resumption, and the wait for a place, ended with the time for which a caller is expected to wait for the next event, and what is begun and cannot be refused is reset then. A silent server was also given up when so little of that time was left that no other one could prefill the prompt in it.

Change: a begun stream goes on until its deadline; a caller that has lost its patience closes the connection, which ends the work. A replacement is offered only if its prefill is expected to end in time. The time of the last event is kept over a change of the server.

--- a/src/mangorock/delivery.py
+++ b/src/mangorock/delivery.py
@@ -26,6 +26,7 @@
     server: object = None
     on_first_event: object = None
     last_event_at_s: float = 0.0
+    delivered_at_s: float = 0.0
     on_pace: object = None
     paced_from_s: float = 0.0
     paced_events: int = 0
@@ -63,7 +64,7 @@
         else:
             self.paced_from_s = self.context.begun_at_s = now
             self.on_first_event(answer)
-        self.last_event_at_s = now
+        self.last_event_at_s = self.delivered_at_s = now
         if now - self.paced_from_s > PACE_INTERVAL_S:
             self.report_pace()
         try:
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -97,11 +97,15 @@
         )
 
     def _wait(self):
-        """Return the `waiting.Wait`: until the caller gives up a stream."""
+        """Return the `waiting.Wait`.
+
+        A stream that was begun waits until its deadline, as a caller that
+        has lost its patience closes the connection.
+        """
         if not self.relay.reply.is_started:
             return waiting.wait_of_new_request(self.context)
-        until_s = time.monotonic() + self._first_event_left_s()
-        return waiting.Wait(messages.RESUMED_PRIORITY, until_s, True)
+        deadline_s = self.context.deadline_s
+        return waiting.Wait(messages.RESUMED_PRIORITY, deadline_s, True)
 
     async def _ask_scheduler(self):
         """Return the placement that the shared scheduler chose.
@@ -239,10 +243,15 @@
 
         Another prefill of the prompt is a retry of its own.
         """
-        if self._first_event_left_s() <= DECODE_RESERVE_S:
-            return None
         placed = self._place_on(servers)
-        if placed is None or placed.prefill is None:
+        if placed is None:
+            return None
+        reader = placed.prefill or placed.decode
+        model = self.gateway.placer.model
+        needed_s = DECODE_RESERVE_S + model.seconds(reader, placed.tokens)
+        if self._first_event_left_s() <= needed_s:
+            return None
+        if placed.prefill is None:
             return placed
         if self.prefill_attempts >= MAX_PREFILL_ATTEMPTS:
             return None
@@ -349,6 +358,8 @@
             fetch_from=affinity_server.address if affinity_server else '',
         )
         wait_s = self._first_event_left_s() - DECODE_RESERVE_S
+        if self.relay.reply.is_started:
+            wait_s = context.left_s
         if wait_s <= 0:
             raise refusals.no_answer_in_time(context, gateway.retry_after_s())
         try:
@@ -419,7 +430,7 @@
             return self.context.left_s
         waiting_since_s = self.context.request.received_s
         if self.relay.reply.is_started:
-            waiting_since_s = self.relay.last_event_at_s or waiting_since_s
+            waiting_since_s = self.relay.delivered_at_s
         waited_s = time.monotonic() - waiting_since_s
         return min(self.context.left_s, caller_read_timeout_s - waited_s)
 
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -218,6 +218,32 @@
 class ResumedStreams(unittest.TestCase):
     """Streams whose server broke off and that go on elsewhere."""
 
+    @test_front.run
+    async def test_resumed_stream_is_not_ended_before_its_caller_leaves(self):
+        # The prefill for it was given up shortly before a caller that gets
+        # no event was expected to leave, and the stream was reset.
+        def prefill(request):
+            body = b'{"handle":"h1","tokens":9}'
+            seconds = 0.0 if not servers[0].received[1:] else 1.2
+            return [seconds, workers.whole_response(request, body)]
+
+        def stall(request):
+            if 'last-event-id' in request.headers:
+                return workers.stream_response(request)
+            head = workers.response_head(request, CHUNKED)
+            return [head + workers.event_chunks(1, 2), 5.0]
+
+        servers = [
+            workers.Worker('p1', 'llm', prefill, stage='prefill'),
+            workers.Worker('d1', 'llm', stall, stage='decode'),
+            workers.Worker('d2', 'llm', stall, stage='decode'),
+        ]
+        long_prompt = fleet.prompt_headers(9000, 'doc:7000,own:2900')
+        async with fleet.Fleet(*servers, config=make_config()) as cluster:
+            cluster.front.gateway.retry_budget.balance = 5.0
+            events = await read_stream(cluster, *long_prompt)
+        self.assertEqual(4, events)
+
     @test_front.run
     async def test_resumed_stream_waits_for_room(self):
         # Its target latency had passed, so it was not allowed to wait.
