--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,10 +15,12 @@
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 CONFIG_S = standins.BOUNDS['configMs'] / 1000
 STABLE_S = standins.BOUNDS['stableWindowMs'] / 1000
-# How long the store gives one machine no response, and when within that
-# time the operator's config is accepted.
-SILENT_S = 0.3
-CONFIG_AFTER_S = 0.1
+# Two configs follow each other, `SECOND_AFTER_S` apart; the second moves the
+# route.  Then the store gives one machine no response, from `SILENT_AFTER_S`
+# to `SERVED_AFTER_S` after the first.
+SECOND_AFTER_S = 0.1
+SILENT_AFTER_S = 0.2
+SERVED_AFTER_S = 0.9
 WORK_S = 0.045
 CLIENTS = 4
 VM, OTHER_VM = 'front-a-1', 'front-b-1'
@@ -142,14 +144,18 @@
         opened_s = time.monotonic()
         while self.store.watches.get((VM, 'op/'), 0.0) < opened_s:
             await asyncio.sleep(0.01)
+        start_s = time.monotonic()
+        self.store.put('op/config', make_config(5, 'order-desk'))
+        self.record.write('store: accepts version 5')
+        await asyncio.sleep(SECOND_AFTER_S)
+        self.store.put('op/config', make_config(9, 'order-desk-b'))
+        self.acked_s = time.monotonic()
+        self.record.write('store: accepts version 9, route to order-desk-b')
+        await asyncio.sleep(start_s + SILENT_AFTER_S - time.monotonic())
         if TROUBLE:
             self.store.silent.add(VM)
             self.record.write(f'store: gives {VM} no response from now on')
-        await asyncio.sleep(CONFIG_AFTER_S)
-        self.store.put('op/config', make_config(5, 'order-desk-b'))
-        self.acked_s = time.monotonic()
-        self.record.write('store: accepts version 5, route to order-desk-b')
-        await asyncio.sleep(SILENT_S - CONFIG_AFTER_S)
+        await asyncio.sleep(start_s + SERVED_AFTER_S - time.monotonic())
         if TROUBLE:
             self.store.silent.discard(VM)
             self.in_touch_s[VM] = time.monotonic() + STABLE_S
@@ -176,7 +182,7 @@
         for request_id, age_s in late.items():
             self.record.write(
                 f'CONFIG: {request_id} was sent {age_s:.3f} s after the ack '
-                'of version 5, in touch, and ran at order-desk'
+                'of version 9, in touch, and ran at order-desk'
             )
         served = sum(status == 200 for status in self.answers.values())
         summary = (
