--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A machine in touch runs orders at a service that the route has left."""
+"""A machine in touch sends orders to a worker that drained long ago."""
 
 import asyncio
 import os
@@ -13,53 +13,53 @@
 import standins  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-CONFIG_S = standins.BOUNDS['configMs'] / 1000
+DRAIN_S = standins.BOUNDS['drainMs'] / 1000
 STABLE_S = standins.BOUNDS['stableWindowMs'] / 1000
-# Two configs follow each other, `SECOND_AFTER_S` apart; the second moves the
-# route.  Then the store gives one machine no response, from `SILENT_AFTER_S`
-# to `SERVED_AFTER_S` after the first.
+# Two workers report that they drain, one `SECOND_AFTER_S` after the other.
+# Then the store gives one machine no response, from `SILENT_AFTER_S` to
+# `SERVED_AFTER_S` after the first report.
 SECOND_AFTER_S = 0.1
 SILENT_AFTER_S = 0.2
 SERVED_AFTER_S = 0.9
-WORK_S = 0.045
+# How much longer than `DRAIN_S` the worker serves before it exits.
+LINGER_S = 2.2
+WORK_S = 0.15
 CLIENTS = 4
+# The stages of the workers: those of the order desk have none.
+STAGES = (None, None, None, *('prefill',) * 2, *('decode',) * 4)
 VM, OTHER_VM = 'front-a-1', 'front-b-1'
 
-
-def make_config(version, service):
-    """Return a config whose route leads to ``service``."""
-    return {
-        'version': version,
-        'routes': [
-            {
-                'name': 'order-place',
-                'host': standins.HOST,
-                'prefix': '/place/',
-                'kind': 'unsafe',
-                'service': service,
-                'timeoutMs': 800,
-                'targetLatencyMs': 150,
-                'priority': 2,
-                'maxAttempts': 1,
-            }
-        ],
-        'services': [
-            {
-                'name': name,
-                'healthPath': '/healthz',
-                'maxConnections': 110,
-                'protocol': 'h1',
-                'tls': False,
-            }
-            for name in ('order-desk', 'order-desk-b')
-        ],
-        'limits': {
-            'maxHeaderBytes': 16384,
-            'maxBodyBytes': 4194304,
-            'headerTimeoutMs': 3000,
-            'idleTimeoutMs': 15000,
-        },
-    }
+CONFIG = {
+    'version': 2,
+    'routes': [
+        {
+            'name': 'order-place',
+            'host': standins.HOST,
+            'prefix': '/place/',
+            'kind': 'unsafe',
+            'service': 'order-desk',
+            'timeoutMs': 800,
+            'targetLatencyMs': 150,
+            'priority': 2,
+            'maxAttempts': 1,
+        }
+    ],
+    'services': [
+        {
+            'name': 'order-desk',
+            'healthPath': '/healthz',
+            'maxConnections': 110,
+            'protocol': 'h1',
+            'tls': False,
+        }
+    ],
+    'limits': {
+        'maxHeaderBytes': 16384,
+        'maxBodyBytes': 4194304,
+        'headerTimeoutMs': 3000,
+        'idleTimeoutMs': 15000,
+    },
+}
 
 
 class Case:
@@ -69,16 +69,16 @@
         self.record = record
         self.folder = folder
         self.store = standins.Store(record)
-        self.sent = {}
+        self.sent_by = {}
         self.answers = {}
         self.arrivals = []
-        self.acked_s = None
+        self.drained_s = None
         self.in_touch_s = {}
         self.is_over = False
 
     def on_request(self, worker, request_id, headers):
         """Record that a worker begins to run a request."""
-        self.arrivals.append((worker.service, request_id))
+        self.arrivals.append((time.monotonic(), worker.name, request_id))
         self.record.write(f'{worker.name}: runs {request_id}')
 
     async def client(self, number, vm):
@@ -87,7 +87,7 @@
         while not self.is_over:
             count += 1
             request_id = f'{vm.name}-{number}-{count}'
-            self.sent[request_id] = time.monotonic(), vm.name
+            self.sent_by[request_id] = vm.name
             self.record.write(f'client: sends {request_id}')
             status, _, _ = await client.send(
                 'POST', '/place/1', request_id, 1500
@@ -101,20 +101,20 @@
         """Return whether the rule was broken, None if it could not run."""
         workers = [
             standins.Worker(
-                f'i-{service}-{zone}',
-                service,
-                zone,
+                f'i-{n}',
+                'order-desk' if n < 3 else 'trade-assistant',
+                'abc'[n % 3],
                 self.record,
                 self.on_request,
                 WORK_S,
+                STAGES[n],
             )
-            for service in ('order-desk', 'order-desk-b')
-            for zone in 'abc'
+            for n in range(len(STAGES))
         ]
         for worker in workers:
             await worker.start()
             self.store.put(f'servers/{worker.name}', worker.entry())
-        self.store.put('op/config', make_config(2, 'order-desk'))
+        self.store.put('op/config', CONFIG)
         vms = []
         for name in (VM, OTHER_VM, 'front-c-1'):
             address = await self.store.listen(name)
@@ -127,13 +127,19 @@
                 if not await vm.wait_ready():
                     return None
                 self.in_touch_s[vm.name] = time.monotonic() + STABLE_S
-            return await self.play(vms)
+            return await self.play(vms, workers)
         finally:
             self.is_over = True
             for vm in vms:
                 await vm.stop()
 
-    async def play(self, vms):
+    def drain(self, worker):
+        """Have the store accept that a worker drains."""
+        worker.sequence += 1
+        self.store.put(f'servers/{worker.name}', worker.entry('draining'))
+        self.record.write(f'store: accepts that {worker.name} drains')
+
+    async def play(self, vms, workers):
         """Play the order of events and check the rule."""
         clients = [
             asyncio.create_task(self.client(number, vm))
@@ -142,15 +148,14 @@
         ]
         await asyncio.sleep(STABLE_S + 1.0)
         opened_s = time.monotonic()
-        while self.store.watches.get((VM, 'op/'), 0.0) < opened_s:
+        while self.store.watches.get((VM, 'servers/'), 0.0) < opened_s:
             await asyncio.sleep(0.01)
+        first, leaving = workers[-1], workers[0]
         start_s = time.monotonic()
-        self.store.put('op/config', make_config(5, 'order-desk'))
-        self.record.write('store: accepts version 5')
+        self.drain(first)
         await asyncio.sleep(SECOND_AFTER_S)
-        self.store.put('op/config', make_config(9, 'order-desk-b'))
-        self.acked_s = time.monotonic()
-        self.record.write('store: accepts version 9, route to order-desk-b')
+        self.drain(leaving)
+        self.drained_s = time.monotonic()
         await asyncio.sleep(start_s + SILENT_AFTER_S - time.monotonic())
         if TROUBLE:
             self.store.silent.add(VM)
@@ -160,36 +165,44 @@
             self.store.silent.discard(VM)
             self.in_touch_s[VM] = time.monotonic() + STABLE_S
             self.record.write(f'store: serves {VM} again')
-        await asyncio.sleep(STABLE_S + 3.0)
+        exit_s = self.drained_s + DRAIN_S + LINGER_S
+        await asyncio.sleep(exit_s - time.monotonic())
+        for worker in (first, leaving):
+            await worker.exit()
+            self.store.remove(f'servers/{worker.name}')
+        await asyncio.sleep(2.0)
         self.is_over = True
         await asyncio.gather(*clients)
-        return self.check(vms)
+        return self.check(vms, leaving)
 
-    def check(self, vms):
-        """Say whether CONFIG was broken, and record how."""
+    def check(self, vms, leaving):
+        """Say whether DRAIN was broken, and record how."""
         for vm in vms:
             if vm.process.returncode is not None:
                 return None
         late = {}
-        for service, request_id in self.arrivals:
-            sent_s, vm = self.sent[request_id]
+        for moment_s, name, request_id in self.arrivals:
+            vm = self.sent_by[request_id]
             if (
-                service == 'order-desk'
-                and sent_s > self.acked_s + CONFIG_S
-                and sent_s >= self.in_touch_s[vm]
+                name == leaving.name
+                and moment_s > self.drained_s + DRAIN_S
+                and moment_s >= self.in_touch_s[vm]
             ):
-                late[request_id] = sent_s - self.acked_s
+                late[request_id] = moment_s - self.drained_s
+        lost = [r for r in leaving.cut if r in late]
         for request_id, age_s in late.items():
             self.record.write(
-                f'CONFIG: {request_id} was sent {age_s:.3f} s after the ack '
-                'of version 9, in touch, and ran at order-desk'
+                f'DRAIN: {request_id} reached {leaving.name} {age_s:.3f} s '
+                f'after the ack, in touch; its client got '
+                f'{self.answers.get(request_id)}'
             )
         served = sum(status == 200 for status in self.answers.values())
         summary = (
             f'{len(self.answers)} requests, {served} answered 200; '
             f'{self.store.lost_responses} responses of the store lost; '
-            f'{len(late)} requests that were sent later than {CONFIG_S} s '
-            'after the ack to machines in touch ran at the old service'
+            f'{len(late)} requests reached the leaving worker later than '
+            f'{DRAIN_S} s after the ack from machines in touch; '
+            f'{len(lost)} of them were cut off by its end'
         )
         self.record.write(summary)
         print(summary)
