Log arrivals, paid retries and the service of each request

The logs could not tell a budget that other services earned from arrivals that nobody paid for. request_done has service, arrivals and paid now, and the metrics sum arrivals_beyond_first and retries_paid.

--- a/src/mangorock/accounting.py
+++ b/src/mangorock/accounting.py
@@ -51,6 +51,7 @@
     """
     seconds = time.monotonic() - end.raw.received_s
     gateway.metrics.timing('request', seconds)
+    _count_arrivals(gateway.metrics, end.context)
     fields = {
         **_describe_request(end),
         'end': end.reason,
@@ -69,6 +70,16 @@
         logs.warning('request_unanswered', **fields)
 
 
+def _count_arrivals(metrics, context):
+    """Count what was sent beyond once, and what the budget paid for."""
+    if context is None:
+        return
+    if context.arrivals > 1:
+        metrics.add('arrivals_beyond_first', context.arrivals - 1)
+    if context.paid_retries:
+        metrics.add('retries_paid', context.paid_retries)
+
+
 def _describe_request(end):
     if end.context is not None:
         return {
@@ -89,7 +100,10 @@
         'placed_s': context.seconds_since_received(context.placed_at_s),
         'read_s': context.seconds_since_received(context.prompt_read_at_s),
         'first_s': context.seconds_since_received(context.first_event_at_s),
+        'service': context.service,
         'sends': context.sends,
+        'arrivals': context.arrivals,
+        'paid': context.paid_retries,
         'servers': context.server_ids,
     }
 
--- a/src/mangorock/context.py
+++ b/src/mangorock/context.py
@@ -17,7 +17,11 @@
 
 @attrs.define
 class RequestContext:
-    """The state of one request while it is served."""
+    """The state of one request while it is served.
+
+    ``arrivals`` counts all that was sent to a server, prompts that are only
+    prefilled too; ``paid_retries`` counts what the retry budget paid for.
+    """
 
     request: object
     route: catalog.Route
@@ -26,6 +30,8 @@
     service: str = ''
     tried: set = attrs.field(factory=set)
     sends: int = 0
+    arrivals: int = 0
+    paid_retries: int = 0
     unsent_attempts: int = 0
     may_have_run: bool = False
     placed_at_s: float = 0.0
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -306,10 +306,17 @@
         others = [s for s in self.eligible_servers(context) if s != server]
         return bool(others) and place(others) is not None
 
+    def pay_retry(self, context):
+        """Pay for a retry; return whether the budget allowed it."""
+        is_paid = self.retry_budget.spend()
+        context.paid_retries += is_paid
+        return is_paid
+
     def make_dispatch(self, context, server, **options):
         """Return the `traffic.Dispatch` of this request to a server."""
         self.check_quarantine(context)
         context.sent_at_s, context.begun_at_s = time.monotonic(), 0.0
+        context.arrivals += 1
         return traffic.Dispatch(
             server, context.left_s, priority=context.route.priority, **options
         )
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -348,7 +348,7 @@
         if not self._may_prefill():
             return None
         if self.prefill_attempts:
-            gateway.retry_budget.spend()
+            gateway.pay_retry(context)
             gateway.metrics.count_retry(metrics.RetryReason.PREFILL)
         self.prefill_attempts += 1
         dispatch = gateway.make_dispatch(
--- a/src/mangorock/retries.py
+++ b/src/mangorock/retries.py
@@ -42,9 +42,8 @@
             gateway.metrics.count_retry(metrics.RetryReason.CONNECT)
             return
         case sending.Refused():
-            if (
-                context.sends > MAX_NOT_RUN_RETRIES
-                or not gateway.retry_budget.spend()
+            if context.sends > MAX_NOT_RUN_RETRIES or not gateway.pay_retry(
+                context
             ):
                 raise refusals.backend_refused(
                     context, gateway.retry_after_s()
@@ -53,6 +52,6 @@
         case _:
             if not route.is_repeatable or context.sends >= route.max_servers:
                 raise refusals.backend_broken()
-            if not gateway.retry_budget.spend():
+            if not gateway.pay_retry(context):
                 raise refusals.backend_broken()
             gateway.metrics.count_retry(metrics.RetryReason.BROKEN)
