--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,6 +24,7 @@
 import orjson
 
 from mangorock import client as clients
+from tests import arrivals
 from tests import fleet
 from tests import soak_audit
 from tests import soak_callers
@@ -147,7 +148,12 @@
             'listen': {'front': self.address, 'ready': f'{self.ip}:8140'},
             'internalPorts': [7660, 7675],
             'limits': {'cpuShare': 1.0, 'cores': 1},
-            'bounds': {'graceS': self.grace_s},
+            'bounds': {
+                'graceS': self.grace_s,
+                'retryBudgetRatio': arrivals.RATIO,
+                'budgetWindowS': arrivals.WINDOW_S,
+                'budgetSlack': arrivals.SLACK,
+            },
             'platform': {'address': f'127.0.0.1:{self.proxy.port}'},
         }
         newer = self.settings_path.with_suffix('.new')
--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,185 @@
+"""Tests of the retry budget of each service.
+
+Entry VMs are processes; the store, the servers and the callers are stand-ins
+in this process, which count every arrival at a server.
+"""
+
+import itertools
+import random
+import signal
+import tempfile
+import time
+import unittest
+
+import curio
+import h11
+
+from mangorock import client as clients
+from tests import arrivals
+from tests import fleet
+from tests import soak
+from tests import soak_proxy
+from tests import soak_world
+from tests import workers
+
+VMS = 3
+START_TIMEOUT_S = 30.0
+REQUEST_TIMEOUT_S = 6.0
+
+
+class Desk:
+    """Entry VMs before servers of which some refuse.
+
+    ``rates`` maps the kinds of requests to requests a second; the servers
+    whose names begin with ``refusing`` refuse this ``share`` of what they get.
+    """
+
+    def __init__(self, folder, rates, refusing, share=1.0):
+        self.rates, self.refusing, self.share = rates, refusing, share
+        self.rng = random.Random(1)
+        self.log = arrivals.ArrivalLog()
+        self.checker = soak_world.InvariantChecker()
+        self.is_refusing = False
+        self.store = fleet.Store()
+        self.store.put('op/config', fleet.make_config(2))
+        stages = [('desk', None)] * 3
+        stages += [('llm', 'prefill')] * 2 + [('llm', 'decode')] * 4
+        self.servers = [
+            self._make_server(f'{stage or service}-{number}', service, stage)
+            for number, (service, stage) in enumerate(stages)
+        ]
+        self.vms = [
+            soak.Vm(n, folder, soak_proxy.Proxy(('127.0.0.1', 0)))
+            for n in range(VMS)
+        ]
+        self.client = clients.Client()
+        self.ids = itertools.count()
+
+    def _make_server(self, name, service, stage):
+        server = soak_world.Server(
+            name, service, self.checker, random.Random(name), stage
+        )
+        sound_run = server.script[0]
+
+        def run(request):
+            if not request.request_id:
+                # A report, or a handle that is freed.
+                return sound_run(request)
+            is_refused = (
+                self.is_refusing
+                and name.startswith(self.refusing)
+                and self.rng.random() < self.share
+            )
+            self.log.record_arrival(
+                request, service, not is_refused, time.monotonic()
+            )
+            if is_refused:
+                return workers.not_executed_response(request)
+            return sound_run(request)
+
+        server.script = [run]
+        self.store.put(f'servers/{name}', server.entry())
+        return server
+
+    async def start(self):
+        """Start all and wait until the VMs serve."""
+        await self.store.start()
+        for server in self.servers:
+            await server.start()
+        for vm in self.vms:
+            vm.proxy.target = '127.0.0.1', self.store.port
+            await vm.proxy.start()
+            vm.start()
+        async with curio.timeout_after(START_TIMEOUT_S):
+            for vm in self.vms:
+                while await self._send('safe', vm) != 200:
+                    await curio.sleep(0.1)
+
+    async def close(self):
+        """Stop all that was started here."""
+        for vm in self.vms:
+            if vm.process is not None and vm.process.poll() is None:
+                await vm.stop(signal.SIGKILL)
+            await vm.proxy.close()
+        for server in self.servers:
+            await server.close()
+        await self.store.close()
+        await self.client.close()
+
+    async def run(self, seconds):
+        """Send requests at the given rates for this time."""
+        self.is_refusing = True
+        senders = [
+            await curio.spawn(self._send_kind, kind, rate, seconds)
+            for kind, rate in self.rates.items()
+        ]
+        for sender in senders:
+            await sender.join()
+
+    async def _send_kind(self, kind, rate, seconds):
+        next_s = await curio.clock()
+        end_s, tasks = next_s + seconds, []
+        while next_s < end_s:
+            await curio.sleep(max(0.0, next_s - await curio.clock()))
+            vm = self.rng.choice(self.vms)
+            tasks.append(await curio.spawn(self._send, kind, vm))
+            next_s += 1 / rate
+        for task in tasks:
+            await task.join()
+
+    async def _send(self, kind, vm):
+        """Send one request; return its status, 0 without an answer."""
+        path, headers = soak_world.describe_request(kind, self.rng)
+        service = 'desk' if kind in ('safe', 'unsafe') else 'llm'
+        self.log.record_sent(service, time.monotonic())
+        own = [
+            ('host', fleet.HOST),
+            ('x-request-id', f'b{next(self.ids)}'),
+            ('x-deadline-ms', '1400'),
+        ]
+        try:
+            async with curio.timeout_after(REQUEST_TIMEOUT_S):
+                status, _ = await self.client.call_once(
+                    vm.address, 'POST', path, [*own, *headers], b'order'
+                )
+        except (OSError, h11.ProtocolError, curio.TaskTimeout):
+            # While the VM starts, and where it resets a stream.
+            return 0
+        return status
+
+
+def run_desk(rates, refusing, seconds, share=1.0):
+    """Return the `arrivals.ArrivalLog` of a desk whose servers refuse.
+
+    The parameters are as for `Desk`.
+    """
+
+    async def main():
+        with tempfile.TemporaryDirectory() as folder:
+            desk = Desk(soak.pathlib.Path(folder), rates, refusing, share)
+            try:
+                await desk.start()
+                await desk.run(seconds)
+            finally:
+                await desk.close()
+            return desk.log
+
+    return curio.run(main)
+
+
+class RefusingServers(unittest.TestCase):
+    """Servers that refuse fast get no more repeats than their service may."""
+
+    def test_service_does_not_spend_what_others_earned(self):
+        rates = {'stream': 80, 'safe': 5, 'unsafe': 5}
+        log = run_desk(rates, 'desk', seconds=13.0)
+        self.assertLessEqual(log.excess('desk'), 0)
+
+    def test_refused_prefills_are_paid_for(self):
+        rates = {'long': 30, 'stream': 90}
+        log = run_desk(rates, ('prefill', 'decode'), seconds=13.0, share=0.8)
+        self.assertLessEqual(log.excess('llm'), 0)
+
+
+if __name__ == '__main__':
+    unittest.main()
