Write a VM's key again if its first write failed

Other VMs did not count such a VM, and divided the limits among fewer. It had a lease, kept that one, and never wrote the key. The lease is only taken over once the key is written. The test waited in vain for the key before.

--- a/src/mangorock/presence.py
+++ b/src/mangorock/presence.py
@@ -64,8 +64,9 @@
     while True:
         try:
             if lease is None:
-                lease = await store.grant_lease(LEASE_S)
-                await store.put(PREFIX + vm, value, lease)
+                granted = await store.grant_lease(LEASE_S)
+                await store.put(PREFIX + vm, value, granted)
+                lease = granted
                 logs.event('presence_announced', lease=lease)
             else:
                 await store.keep_lease(lease)
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from mangorock import errors
 from mangorock import presence
 from tests import fleet
 
@@ -46,6 +47,28 @@
         random.seed(1)
         curio.run(main)
 
+    def test_key_is_written_although_its_first_write_failed(self):
+        # The lease was kept from then on, and the key never written.
+        put = fleet.stores.Store.put
+        failures = [errors.PlatformUnavailable('no answer')]
+
+        async def fail_once(*args):
+            if failures:
+                raise failures.pop()
+            return await put(*args)
+
+        async def main():
+            with (
+                mock.patch.object(presence, 'RENEW_S', 0.02),
+                mock.patch.object(fleet.stores.Store, 'put', fail_once),
+            ):
+                async with fleet.Fleet() as test_fleet:
+                    await fleet.wait_until(
+                        lambda: 'mangorock/vms/vm-1' in test_fleet.store.items
+                    )
+
+        curio.run(main)
+
 
 if __name__ == '__main__':
     unittest.main()
