Keep the retries of each service within the bound of the platform

Servers of one service got more repeated arrivals in 10 s than they may.

Cause: the bound is one of a service, in a window, over all VMs; the budget was one of a VM, earned by the requests of all services, paid from by some sends and not by others, with constants for the platform's figures and a burst divided by a count of VMs that falls while keys cannot be renewed. The logs show both ways: at the plain service each repeat was paid for (288 and 280 of them) from what the other service earned, at the model's 132 and 392 at least were not paid for, as a refused prefill cost nothing and the payment before a second prefill was not checked.

Change: the ledger of a request passes every send and pays for those beyond the first, the first accepted prefill excepted. Each service has a window of its requests and repeats; the ratio, the window and the slack come from the settings. A VM has its part of the slack only while its key and its count are recent, and after it has held them for a window, so that neither a restart nor a cut gives the slack twice. What a retry needs is reserved before the request waits for a server.

The property test has a fleet with restarts and cuts in place of a sum of buckets; the tests that set a balance allow a number of repeats instead.

--- a/src/mangorock/accounting.py
+++ b/src/mangorock/accounting.py
@@ -74,10 +74,11 @@
     """Count what was sent beyond once, and what the budget paid for."""
     if context is None:
         return
-    if context.arrivals > 1:
-        metrics.add('arrivals_beyond_first', context.arrivals - 1)
-    if context.paid_retries:
-        metrics.add('retries_paid', context.paid_retries)
+    ledger = context.ledger
+    if ledger.sends > 1:
+        metrics.add('arrivals_beyond_first', ledger.sends - 1)
+    if ledger.paid:
+        metrics.add('retries_paid', ledger.paid)
 
 
 def _describe_request(end):
@@ -102,8 +103,8 @@
         'first_s': context.seconds_since_received(context.first_event_at_s),
         'service': context.service,
         'sends': context.sends,
-        'arrivals': context.arrivals,
-        'paid': context.paid_retries,
+        'arrivals': context.ledger.sends,
+        'paid': context.ledger.paid,
         'servers': context.server_ids,
     }
 
@@ -127,7 +128,7 @@
         error=getattr(outcome, 'error', ''),
         send=context.sends,
         left_s=context.left_s,
-        budget=gateway.retry_budget.balance,
+        budget=context.ledger.budget.left(time.monotonic()),
         parts=','.join(part.part_id for part in shared)[:MAX_LOGGED_CHARS],
     )
 
--- a/src/mangorock/context.py
+++ b/src/mangorock/context.py
@@ -2,7 +2,9 @@
 
 Example::
 
-    context = RequestContext(request, route, reply, deadline_s)
+    context = RequestContext(
+        request, route, reply, deadline_s, service, ledger
+    )
     context.left_s                                   # 1.4
 """
 
@@ -10,6 +12,7 @@
 
 import attrs
 
+from mangorock import budget
 from mangorock import catalog
 from mangorock import ingress
 from mangorock import sending
@@ -19,19 +22,18 @@
 class RequestContext:
     """The state of one request while it is served.
 
-    ``arrivals`` counts all that was sent to a server, prompts that are only
-    prefilled too; ``paid_retries`` counts what the retry budget paid for.
+    ``ledger`` has all its sends to servers of ``service``, ``sends`` counts
+    those that did not only prefill the prompt.
     """
 
     request: object
     route: catalog.Route
     reply: ingress.Reply
     deadline_s: float
-    service: str = ''
+    service: str
+    ledger: budget.Ledger
     tried: set = attrs.field(factory=set)
     sends: int = 0
-    arrivals: int = 0
-    paid_retries: int = 0
     unsent_attempts: int = 0
     may_have_run: bool = False
     placed_at_s: float = 0.0
@@ -51,6 +53,7 @@
             self.may_have_run = may_have_run_before
         if isinstance(outcome, sending.Unreachable):
             self.sends -= 1
+            self.ledger.on_unreachable()
 
     def record_placement(self, servers):
         """Record when and on which servers the request was placed."""
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -13,6 +13,7 @@
 import curio
 import curio.errors
 
+from mangorock import budget
 from mangorock import client as clients
 from mangorock import consultation
 from mangorock import discovery
@@ -49,6 +50,10 @@
 LAST_ANSWERS_S = 0.2
 
 
+# Bound on the retries of all VMs where the platform states none.
+DEFAULT_RETRY_TERMS = budget.Terms(ratio=0.1, window_s=10.0, slack=0.0)
+
+
 @attrs.frozen
 class FrontSettings:
     """The settings that the daemon reads from its settings file.
@@ -60,7 +65,8 @@
     normal operation ``stable_s`` after a disturbance: from then on a new
     configuration is in force within ``config_s``, and a draining server
     gets no new requests after ``drain_s``.  Orders of two VMs to one engine
-    must be ``order_spacing_s`` apart.
+    must be ``order_spacing_s`` apart.  ``retry_terms`` bound the retries of
+    all VMs.
     """
 
     vm: str
@@ -77,6 +83,7 @@
     config_s: float = 2.0
     drain_s: float = 2.0
     order_spacing_s: float = 3.0
+    retry_terms: budget.Terms = DEFAULT_RETRY_TERMS
 
     @property
     def watch_wait_s(self):
@@ -108,6 +115,7 @@
             settings.failure_domain,
             self.client,
             self.metrics,
+            budget.Budgets(settings.retry_terms),
             self.rng,
         )
         self.ingress = ingresses.Ingress(
@@ -207,7 +215,12 @@
             await endpoint.start(settings.peer_address)
             await self._start_staging(store)
         await self.spawn(
-            presence.announce, store, settings.vm, value, self.rng
+            presence.announce,
+            store,
+            settings.vm,
+            value,
+            self.rng,
+            self.gateway.budgets.share,
         )
         await self.spawn(
             presence.count_vms,
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -13,11 +13,11 @@
 import curio.errors
 
 from mangorock import accounting
+from mangorock import budget
 from mangorock import catalog as catalogs
 from mangorock import context as contexts
 from mangorock import errors
 from mangorock import generation
-from mangorock import limits
 from mangorock import logs
 from mangorock import outliers as outliers_module
 from mangorock import placement
@@ -39,10 +39,6 @@
 RETRY_AFTER_SPREAD = (0.9, 1.4)
 # Short while this VM stops, since another VM can take the request at once.
 STOP_RETRY_AFTER_S = 0.05
-# Retries that each VM may make, as a fraction of the requests it receives,
-# and the burst that all VMs may make together.
-RETRY_BUDGET_RATIO = 0.12
-FLEET_RETRY_BURST = 40.0
 
 
 @attrs.define
@@ -58,15 +54,13 @@
     failure_domain: str
     client: object
     metrics: object
+    budgets: budget.Budgets
     rng: random.Random = attrs.field(factory=random.Random)
     catalog: catalogs.Catalog = attrs.field(
         factory=catalogs.make_empty_catalog
     )
     registry: registries.Registry = attrs.field(factory=registries.Registry)
     wait_queues: dict = attrs.field(factory=dict)
-    retry_budget: limits.RetryBudget = attrs.field(
-        factory=lambda: limits.RetryBudget(1.0, 1.0, RETRY_BUDGET_RATIO)
-    )
     placer: placement.Placer = attrs.field(init=False)
     outliers: outliers_module.OutlierDetector = attrs.field(
         factory=outliers_module.OutlierDetector
@@ -82,15 +76,14 @@
 
     def __attrs_post_init__(self):
         self.placer = placement.Placer(self.failure_domain)
-        self.set_vm_count(self.placer.vm_count)
         self.sender = sending.Sender(
             self.client, self.wire, self.placer, self.outliers
         )
 
     def set_vm_count(self, vm_count):
-        """Divide server capacity and retry burst among the entry VMs."""
+        """Divide server capacity and retry slack among the entry VMs."""
         self.placer.vm_count = vm_count
-        self.retry_budget.burst = max(1.0, FLEET_RETRY_BURST / vm_count)
+        self.budgets.share.on_count(vm_count, time.monotonic())
 
     async def handle(self, raw, reply):
         """Serve one request; the handler of an `ingress.Ingress`."""
@@ -129,6 +122,8 @@
                 ),
             )
         finally:
+            if context is not None:
+                context.ledger.close()
             ended = accounting.End(raw, request, context, reply, end, error)
             accounting.record(self, ended)
 
@@ -162,10 +157,12 @@
                 'again, the load balancer will pick another VM',
                 retry_after_s=STOP_RETRY_AFTER_S,
             )
-        context = contexts.RequestContext(request, route, reply, deadline_s)
+        service = route.pick_service(self.rng.random())
+        ledger = self.budgets.open(service, time.monotonic())
+        context = contexts.RequestContext(
+            request, route, reply, deadline_s, service, ledger
+        )
         self.check_quarantine(context)
-        context.service = route.pick_service(self.rng.random())
-        self.retry_budget.earn()
         return context
 
     async def _serve(self, context):
@@ -246,6 +243,7 @@
         incarnations = self.registry.incarnations
         self.placer.forget(incarnations)
         self.outliers.forget(incarnations)
+        self.budgets.forget_idle(now)
         for found in self.schedulers.values():
             found.forget(incarnations)
 
@@ -301,22 +299,22 @@
         has room.
         """
         queue = self.wait_queues.get(context.service)
-        if self.retry_budget.balance < 1.0 or (queue and queue.waiters):
+        can_pay = context.ledger.can_pay(time.monotonic())
+        if not can_pay or (queue and queue.waiters):
             return False
         others = [s for s in self.eligible_servers(context) if s != server]
         return bool(others) and place(others) is not None
 
-    def pay_retry(self, context):
-        """Pay for a retry; return whether the budget allowed it."""
-        is_paid = self.retry_budget.spend()
-        context.paid_retries += is_paid
-        return is_paid
-
     def make_dispatch(self, context, server, **options):
-        """Return the `traffic.Dispatch` of this request to a server."""
+        """Return the `traffic.Dispatch` of this request to a server.
+
+        Each send needs one, as it is paid for here.
+        """
         self.check_quarantine(context)
-        context.sent_at_s, context.begun_at_s = time.monotonic(), 0.0
-        context.arrivals += 1
+        now = time.monotonic()
+        if not context.ledger.send(now):
+            raise refusals.backend_refused(context, self.retry_after_s())
+        context.sent_at_s, context.begun_at_s = now, 0.0
         return traffic.Dispatch(
             server, context.left_s, priority=context.route.priority, **options
         )
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -54,9 +54,8 @@
         gateway, context = self.gateway, self.context
         while True:
             placed = await self._choose_placement()
-            if self.relay.reply.is_started and not self._may_prefill():
-                # The decode engine prefills, which is slow but no failure.
-                placed = attrs.evolve(placed, prefill=None)
+            if placed.prefill is not None and not self._may_prefill():
+                placed = self._avoid_prefill(placed)
             context.record_placement(placed.servers)
             try:
                 outcome = await self._attempt(placed)
@@ -255,15 +254,29 @@
             return placed
         if self.prefill_attempts >= MAX_PREFILL_ATTEMPTS:
             return None
-        retries = 2 if self.prefill_attempts else 1
-        balance = self.gateway.retry_budget.balance
-        return placed if balance >= retries else None
+        can_pay = self.context.ledger.can_pay(time.monotonic(), True)
+        return placed if can_pay else None
 
     def _may_prefill(self):
-        if not self.prefill_attempts:
-            return True
-        balance = self.gateway.retry_budget.balance
-        return self.prefill_attempts < MAX_PREFILL_ATTEMPTS and balance >= 1.0
+        """Reserve a prefill and its decode; return whether that is allowed."""
+        return (
+            self.prefill_attempts < MAX_PREFILL_ATTEMPTS
+            and self.context.ledger.reserve(time.monotonic(), True)
+        )
+
+    def _avoid_prefill(self, placed):
+        """Return the placement without its prefill engine.
+
+        The decode engine prefills then, which delays its other streams: only
+        an answer that was begun is worth that.  Raises
+        `errors.BackendRefused` for others.
+        """
+        if self.relay.reply.is_started:
+            return attrs.evolve(placed, prefill=None)
+        self._notify_scheduler(messages.NOT_PREFILLED)
+        raise refusals.backend_refused(
+            self.context, self.gateway.retry_after_s()
+        )
 
     def _make_demand(self):
         route = self.context.route
@@ -345,10 +358,7 @@
 
     async def _request_prefill(self, server, affinity_server):
         gateway, context = self.gateway, self.context
-        if not self._may_prefill():
-            return None
         if self.prefill_attempts:
-            gateway.pay_retry(context)
             gateway.metrics.count_retry(metrics.RetryReason.PREFILL)
         self.prefill_attempts += 1
         dispatch = gateway.make_dispatch(
@@ -375,7 +385,10 @@
             raise refusals.no_answer_in_time(context, gateway.retry_after_s())
         match outcome:
             case sending.Whole(answer, body) if answer.is_success:
+                context.ledger.on_prefilled()
                 return gateway.wire.decode_handle(server.address, body)
+            case sending.Unreachable():
+                context.ledger.on_unreachable()
         context.tried.add(server.incarnation)
         await accounting.record_attempt(gateway, context, server, outcome)
         if not isinstance(outcome, sending.Refused):
--- a/src/mangorock/presence.py
+++ b/src/mangorock/presence.py
@@ -7,9 +7,16 @@
 one, so the number shrinks only to the largest of the last
 `COUNTS_TO_SHRINK` counts.
 
-`VmCounter` is the state machine, `announce` and `count_vms` are the loops.
+A VM uses its part of what all VMs share only while its key certainly exists
+and its count is recent: a VM that is cut off from the store is soon no longer
+counted by the others, who then use its part (`SlackShare`).
+
+`VmCounter` and `SlackShare` are state machines, `announce` and `count_vms` are
+the loops.
 """
 
+import time
+
 import attrs
 import curio
 
@@ -22,6 +29,9 @@
 REACQUIRE_DELAY_S = 0.2  # Before a lost lease is replaced by a new one.
 COUNT_INTERVAL_S = 4.0
 COUNTS_TO_SHRINK = 4  # Takes longer than a lapsed VM needs to come back.
+# A VM's key and its count are trusted for this time after they were renewed:
+# long before the lease lapses and the other VMs use what was this VM's part.
+TRUSTED_S = 8.0
 
 
 class LeaseLost(Exception):
@@ -58,10 +68,66 @@
         return max(1, *self.recent_counts)
 
 
-async def announce(store, vm, value, rng):
-    """Keep this VM's key alive in an endless loop; ``value`` is bytes."""
+@attrs.define
+class SlackShare:
+    """This VM's part of a slack that all VMs have together.
+
+    ``held_since_s`` is when its key was written, None if it may have lapsed
+    since; ``renewed_s`` and ``counted_s`` are the times of the last renewal
+    and the last count that succeeded.
+
+    Example::
+
+        share = SlackShare()
+        share.on_renewed(0.0)
+        share.on_count(8, 4.0)
+        share.part(settle_s=11.0, now=6.0)     # 0.0, as it may be restarted
+        share.on_renewed(10.0)
+        share.on_count(8, 10.0)
+        share.part(settle_s=11.0, now=12.0)    # 0.125
+    """
+
+    vms: int = 0
+    held_since_s: float | None = None
+    renewed_s: float = 0.0
+    counted_s: float = 0.0
+
+    def on_renewed(self, sent_s):
+        """Record that the key exists since a call that began at ``sent_s``."""
+        if self.held_since_s is None or sent_s - self.renewed_s > LEASE_S:
+            self.held_since_s = sent_s
+        self.renewed_s = sent_s
+
+    def on_lost(self):
+        """Record that the key is gone."""
+        self.held_since_s = None
+
+    def on_count(self, vms, now):
+        """Record the number of VMs that share the slack."""
+        self.vms, self.counted_s = vms, now
+
+    def part(self, settle_s, now):
+        """Return this VM's part, from 0 to 1.
+
+        It is 0 until the key has existed for ``settle_s``: by then the other
+        VMs have counted it, and what this VM did before a restart has passed.
+        """
+        if self.held_since_s is None or not self.vms:
+            return 0.0
+        is_settled = now - self.held_since_s >= settle_s
+        oldest_s = min(self.renewed_s, self.counted_s)
+        is_trusted = now - oldest_s <= TRUSTED_S
+        return 1.0 / self.vms if is_settled and is_trusted else 0.0
+
+
+async def announce(store, vm, value, rng, share):
+    """Keep this VM's key alive in an endless loop; ``value`` is bytes.
+
+    ``share`` is the `SlackShare` that depends on it.
+    """
     lease = None
     while True:
+        sent_s = time.monotonic()
         try:
             if lease is None:
                 granted = await store.grant_lease(LEASE_S)
@@ -70,9 +136,11 @@
                 logs.event('presence_announced', lease=lease)
             else:
                 await store.keep_lease(lease)
+            share.on_renewed(sent_s)
         except LeaseLost:
             logs.event('presence_lost', lease=lease)
             lease = None
+            share.on_lost()
             await curio.sleep(REACQUIRE_DELAY_S)
             continue
         except errors.MangorockError as exc:
--- a/src/mangorock/retries.py
+++ b/src/mangorock/retries.py
@@ -1,9 +1,12 @@
 """Decides whether a failed attempt is repeated on another server.
 
-Requests on the platform are retried in this layer only.  A retry is paid for
-from the budget of this VM, unless the attempt sent nothing.
+Requests on the platform are retried in this layer only.  What a retry will
+cost is reserved here from the budget of its service; `budget.Ledger` knows
+what the request has cost before.
 """
 
+import time
+
 from mangorock import metrics
 from mangorock import refusals
 from mangorock import sending
@@ -21,15 +24,14 @@
         and context.route.is_repeatable
         and context.sends < context.route.max_servers
         and context.left_s > silence.MIN_ATTEMPT_TIMEOUT_S
-        and gateway.retry_budget.balance >= 1.0
+        and context.ledger.can_pay(time.monotonic())
     )
 
 
 def prepare(gateway, context, server, outcome):
-    """Count a retry, or raise the error that ends the request.
+    """Reserve and count a retry, or raise the error that ends the request.
 
-    Attempts that sent nothing may use the same server again and cost
-    no retry budget.
+    Attempts that sent nothing may use the same server again.
     """
     route = context.route
     if not isinstance(outcome, sending.Unsent):
@@ -39,19 +41,24 @@
             context.unsent_attempts += 1
             if context.unsent_attempts > MAX_NOT_RUN_RETRIES:
                 raise refusals.no_backend(context, gateway.retry_after_s())
+            _reserve(gateway, context)
             gateway.metrics.count_retry(metrics.RetryReason.CONNECT)
-            return
         case sending.Refused():
-            if context.sends > MAX_NOT_RUN_RETRIES or not gateway.pay_retry(
-                context
-            ):
+            if context.sends > MAX_NOT_RUN_RETRIES:
                 raise refusals.backend_refused(
                     context, gateway.retry_after_s()
                 )
+            _reserve(gateway, context)
             gateway.metrics.count_retry(metrics.RetryReason.REFUSED)
         case _:
             if not route.is_repeatable or context.sends >= route.max_servers:
                 raise refusals.backend_broken()
-            if not gateway.pay_retry(context):
-                raise refusals.backend_broken()
+            _reserve(gateway, context)
             gateway.metrics.count_retry(metrics.RetryReason.BROKEN)
+
+
+def _reserve(gateway, context):
+    """Reserve the next send, or raise the error that ends the request."""
+    if not context.ledger.reserve(time.monotonic()):
+        gateway.metrics.add('retry_budget_exhausted')
+        raise refusals.backend_refused(context, gateway.retry_after_s())
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -14,9 +14,11 @@
 import curio
 import orjson
 
+from mangorock import budget
 from mangorock import client
 from mangorock import front
 from mangorock import http
+from mangorock import presence
 from tests import ports
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -28,6 +30,9 @@
 from adapter import store as stores  # noqa: E402
 
 HOST = 'desk.example'
+# Repeats that a front has unless a test allows more or fewer.
+FEW_REPEATS = 5
+FOREVER_S = 86400.0
 
 
 def make_config(version, **overrides):
@@ -222,6 +227,15 @@
     )
 
 
+class _HeldShare(presence.SlackShare):
+    """The share of a VM that is alone and holds all of the slack."""
+
+    def part(self, settle_s, now):
+        """Return the whole."""
+        del settle_s, now
+        return 1.0
+
+
 class Fleet:
     """A store, workers and one front as an async context manager."""
 
@@ -242,6 +256,14 @@
         self.front = front.FrontDaemon(self.settings, make_platform())
         self.client = client.Client()
         self.request_count = 0
+        self.allow_repeats(FEW_REPEATS)
+
+    def allow_repeats(self, count):
+        """Let the front repeat so many requests of each service, from now."""
+        budgets = self.front.gateway.budgets
+        budgets.services.clear()
+        budgets.terms = budget.Terms(0.0, FOREVER_S, count)
+        budgets.share = _HeldShare()
 
     async def __aenter__(self):
         await self.store.start()
--- a/tests/test_forwarding_fuzz.py
+++ b/tests/test_forwarding_fuzz.py
@@ -7,12 +7,13 @@
 import unittest
 from unittest import mock
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 
+from mangorock import budget
 from mangorock import events
-from mangorock import gateway
-from mangorock import limits
+from mangorock import presence
 from mangorock import registry
 
 SETTINGS = hypothesis.settings(
@@ -82,49 +83,163 @@
                 check_resumption()
 
 
-@SETTINGS
+@attrs.define
+class SimulatedVm:
+    """The budgets of one VM, and its key in the store."""
+
+    budgets: budget.Budgets
+    counter: presence.VmCounter = attrs.field(factory=presence.VmCounter)
+    key_until_s: float = 0.0
+
+    def restart(self):
+        """Forget all but the key, which the store keeps."""
+        self.budgets = make_budgets()
+        self.counter = presence.VmCounter()
+
+    def step(self, now, keys):
+        """Renew the key, or write it again, and count the ``keys``."""
+        if now % presence.RENEW_S == 0:
+            if self.key_until_s and self.key_until_s < now:
+                self.budgets.share.on_lost()
+            self.budgets.share.on_renewed(now)
+            self.key_until_s = now + presence.LEASE_S
+        if now % presence.COUNT_INTERVAL_S == 0:
+            vms = self.counter.add_count(keys)
+            self.budgets.share.on_count(vms, now)
+
+
+def make_budgets():
+    """Return the budgets of a VM within the platform's bound."""
+    return budget.Budgets(
+        budget.make_terms(ALLOWED_SHARE, WINDOW_S, ALLOWED_SLACK)
+    )
+
+
+def send_failing(vm, service, repeats, now):
+    """Serve a request whose sends fail; return how often it was repeated."""
+    ledger = vm.budgets.open(service, now)
+    ledger.send(now)
+    sent = 0
+    while sent < repeats and ledger.reserve(now) and ledger.send(now):
+        sent += 1
+    ledger.close()
+    return sent
+
+
+def allowed_repeats(requests, start):
+    """Return the bound for the window that begins at ``start``."""
+    counts = (
+        sum(requests[max(0, first) : max(0, first + WINDOW_S)])
+        for first in (start, start - WINDOW_S // 2, start - WINDOW_S)
+    )
+    return ALLOWED_SHARE * max(counts) + ALLOWED_SLACK
+
+
+TROUBLES = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 19),  # VM
+        strategies.integers(0, 60),  # second
+        strategies.integers(0, 60),  # seconds without the store, 0: restart
+    ),
+    max_size=20,
+)
+
+
+# A failure is found by most examples, and takes long to be made smaller.
+BUDGET_SETTINGS = hypothesis.settings(
+    SETTINGS,
+    max_examples=60,
+    phases=[hypothesis.Phase.explicit, hypothesis.Phase.generate],
+)
+
+
+@BUDGET_SETTINGS
 @hypothesis.given(
-    vms=strategies.integers(1, 20),
-    seconds=strategies.lists(
-        strategies.integers(0, 200), min_size=1, max_size=40
+    vms=strategies.sampled_from((1, 3, 8, 20, 100)),
+    pattern=strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 120),  # requests for the service
+            strategies.integers(0, 120),  # requests for another one
+        ),
+        min_size=1,
+        max_size=4,
     ),
-    retry_ratio=strategies.floats(0.0, 1.0),
+    troubles=TROUBLES,
+    repeats=strategies.integers(0, 4),
 )
-def check_budget(vms, seconds, retry_ratio):
-    """Check that VMs that use up their budgets stay within the fleet's."""
-    burst = max(1.0, gateway.FLEET_RETRY_BURST / vms)
-    budgets = [
-        limits.RetryBudget(burst, burst, gateway.RETRY_BUDGET_RATIO)
-        for _ in range(vms)
-    ]
-    retries = []
-    for second, requests in enumerate(seconds):
-        spent = 0
-        for number in range(requests):
-            budget = budgets[(second + number) % vms]
-            budget.earn()
-            # Each failed request may be sent several times.
-            for _ in range(round(4 * retry_ratio)):
-                spent += budget.spend()
-        retries.append(spent)
-    for start in range(len(seconds)):
-        window = slice(start, start + WINDOW_S)
-        allowed = ALLOWED_SHARE * sum(seconds[window]) + ALLOWED_SLACK
-        assert sum(retries[window]) <= allowed
+@hypothesis.example(
+    vms=8,
+    pattern=[(0, 0), (20, 0)],
+    troubles=[(number, 38, 0) for number in range(8)],
+    repeats=4,
+)
+def check_budget(vms, pattern, troubles, repeats):
+    """Check that VMs that use up their budgets stay within the fleet's.
+
+    VMs restart, and are cut off from the store for a time, so that others
+    count fewer of them.
+    """
+    fleet = [SimulatedVm(make_budgets()) for _ in range(vms)]
+    requests, sent = [], []
+    for now in range(70):
+        for number, start, length in troubles:
+            if start == now and not length:
+                fleet[number % vms].restart()
+        keys = sum(vm.key_until_s >= now for vm in fleet)
+        for number, vm in enumerate(fleet):
+            is_cut = any(
+                number == other % vms and start <= now < start + length
+                for other, start, length in troubles
+            )
+            if not is_cut:
+                vm.step(now, keys)
+        served, others = pattern[now * len(pattern) // 70]
+        requests.append(served)
+        for number in range(others):
+            send_failing(fleet[number % vms], 'other', 0, now)
+        sent.append(
+            sum(
+                send_failing(fleet[(now + n) % vms], 'desk', repeats, now)
+                for n in range(served)
+            )
+        )
+    for start in range(len(requests)):
+        found = sum(sent[start : start + WINDOW_S])
+        assert found <= allowed_repeats(requests, start), (start, found)
 
 
 class Budget(unittest.TestCase):
-    """The sum of the `limits.RetryBudget` of all VMs."""
+    """The sum of the `budget.Budgets` of all VMs."""
 
     def test_fleet_stays_within_its_budget(self):
         check_budget()
 
     def test_finds_excessive_retry_ratio(self):
-        with mock.patch.object(gateway, 'RETRY_BUDGET_RATIO', 0.5):
+        with mock.patch.object(budget, 'USED_SHARE', 2.5):
             self.assertIsNotNone(find_failure(check_budget))
 
-    def test_finds_excessive_fleet_burst(self):
-        with mock.patch.object(gateway, 'FLEET_RETRY_BURST', 400.0):
+    def test_finds_slack_that_is_not_divided(self):
+        with mock.patch.object(presence.SlackShare, 'part', lambda *args: 1.0):
+            self.assertIsNotNone(find_failure(check_budget))
+
+    def test_finds_slack_of_vms_that_others_do_not_count(self):
+        with mock.patch.object(presence, 'TRUSTED_S', 1000.0):
+            self.assertIsNotNone(find_failure(check_budget))
+
+    def test_finds_slack_that_a_restart_gives_anew(self):
+        def part(self, settle_s, now):
+            return original_part(self, 0.0, now)
+
+        original_part = presence.SlackShare.part
+        with mock.patch.object(presence.SlackShare, 'part', part):
+            self.assertIsNotNone(find_failure(check_budget))
+
+    def test_finds_budget_that_services_share(self):
+        def service(self, name):
+            return original_service(self, 'any')
+
+        original_service = budget.Budgets.service
+        with mock.patch.object(budget.Budgets, 'service', service):
             self.assertIsNotNone(find_failure(check_budget))
 
 
--- a/tests/test_interrupted.py
+++ b/tests/test_interrupted.py
@@ -157,7 +157,7 @@
     had begun was reset, although the server would have gone on in time.
     """
 
-    async def _stream(self, decode_count, balance):
+    async def _stream(self, decode_count, repeats):
         """Return the body of a stream of a long prompt that pauses."""
         config = fleet.make_config(2)
         config['routes'][2]['timeoutMs'] = 5000
@@ -174,8 +174,7 @@
             workers.Worker('prefill-1', 'llm', prefill, stage='prefill')
         )
         async with fleet.Fleet(*engines, config=config) as running:
-            budget = running.front.gateway.retry_budget
-            budget.balance = balance
+            running.allow_repeats(repeats)
             headers = fleet.prompt_headers(9000, 'd1:6000,o:3000')
             deadline = ('x-deadline-ms', '4500')
             _, body = await running.request(
@@ -183,8 +182,8 @@
             )
         return body
 
-    def _check(self, decode_count, balance):
-        body = curio.run(self._stream, decode_count, balance)
+    def _check(self, decode_count, repeats):
+        body = curio.run(self._stream, decode_count, repeats)
         expected = b''.join(
             b'id: %d\ndata: piece %d\n\n' % (number, number)
             for number in range(1, EVENTS + 1)
@@ -192,13 +191,13 @@
         self.assertEqual(expected, body)
 
     def test_silence_with_no_retry_left(self):
-        self._check(decode_count=3, balance=0.0)
+        self._check(decode_count=3, repeats=0)
 
     def test_silence_with_one_retry_left_but_none_for_the_prefill(self):
-        self._check(decode_count=3, balance=1.0)
+        self._check(decode_count=3, repeats=1)
 
     def test_silence_without_another_server(self):
-        self._check(decode_count=1, balance=10.0)
+        self._check(decode_count=1, repeats=10)
 
 
 if __name__ == '__main__':
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -88,8 +88,7 @@
             workers.Worker('d2', 'llm', be_silent_after(2)),
         ]
         async with fleet.Fleet(*servers, config=make_config()) as cluster:
-            cluster.front.gateway.retry_budget.burst = 0.5
-            cluster.front.gateway.retry_budget.balance = 0.0
+            cluster.allow_repeats(0)
             self.assertEqual(4, await read_stream(cluster))
         received = sum(len(server.received) for server in servers)
         self.assertEqual(1, received)
@@ -123,8 +122,7 @@
         ]
         long_prompt = fleet.prompt_headers(9000, 'doc:7000,own:2900')
         async with fleet.Fleet(*servers, config=make_config()) as cluster:
-            budget = cluster.front.gateway.retry_budget
-            budget.balance, budget.share = 1.0, 0.0
+            cluster.allow_repeats(1)
             events = await read_stream(cluster, *long_prompt)
         self.assertEqual(4, events)
         self.assertEqual(1, sum_received(servers[1:]))
@@ -185,7 +183,7 @@
         ]
         long_prompt = fleet.prompt_headers(9000, 'doc:7000,own:2900')
         async with fleet.Fleet(*servers, config=make_config()) as cluster:
-            cluster.front.gateway.retry_budget.balance = 5.0
+            cluster.allow_repeats(5)
             with mock.patch.object(generation, 'DECODE_RESERVE_S', 1.2):
                 self.assertEqual(4, await read_stream(cluster, *long_prompt))
         self.assertEqual(1, sum_received(servers[1:]))
@@ -240,7 +238,7 @@
         ]
         long_prompt = fleet.prompt_headers(9000, 'doc:7000,own:2900')
         async with fleet.Fleet(*servers, config=make_config()) as cluster:
-            cluster.front.gateway.retry_budget.balance = 5.0
+            cluster.allow_repeats(5)
             events = await read_stream(cluster, *long_prompt)
         self.assertEqual(4, events)
 
@@ -294,8 +292,7 @@
         ]
         long_prompt = fleet.prompt_headers(9000, 'doc:7000,own:2900')
         async with fleet.Fleet(*servers, config=make_config()) as cluster:
-            budget = cluster.front.gateway.retry_budget
-            budget.balance, budget.share = 1.0, 0.0
+            cluster.allow_repeats(1)
             events = await read_stream(cluster, *long_prompt)
         self.assertEqual(4, events)
         prefills = [r for r in servers[0].received if r.method == 'POST']
