Give each pool of the daemon a retry budget of its own

The same cause as in the front: one budget for all pools, so that the requests for a busy pool paid for the retries at one that failed. The new test found the balance of the failing pool spent by the other one before.

--- a/src/mangorock/completions.py
+++ b/src/mangorock/completions.py
@@ -58,7 +58,7 @@
         identity, context.pool, estimate, left_s, env.rng.random()
     )
     context.first_choice = choice
-    env.retry_budget.earn()
+    env.retry_budget(context.pool.name).earn()
     try:
         await run_until_deadline(context, left_s)
     except errors.MangorockError as exc:
@@ -103,7 +103,7 @@
         demand,
         now + limit_ms / 1000.0,
         responder,
-        attempts.Attempts(True, env.retry_budget),
+        attempts.Attempts(True, env.retry_budget(route.pool)),
         relay.StreamValidator(call.internal_id, start_index),
         is_peer,
         now,
--- a/src/mangorock/environment.py
+++ b/src/mangorock/environment.py
@@ -37,7 +37,7 @@
     router: router.Router
     rng: random.Random
     limiter: limits.Limiter = attrs.field(factory=limits.Limiter)
-    retry_budget: limits.RetryBudget = attrs.field(factory=limits.RetryBudget)
+    retry_budgets: dict = attrs.field(factory=dict)
     tables_history: tables.TablesHistory = attrs.field(
         factory=tables.TablesHistory
     )
@@ -54,6 +54,13 @@
         """Return the tables that are currently in force in this daemon."""
         return self.tables_history.current
 
+    def retry_budget(self, pool_name):
+        """Return the `limits.RetryBudget` of a pool, created on first use.
+
+        Retries at one pool are not paid for by requests for another.
+        """
+        return self.retry_budgets.setdefault(pool_name, limits.RetryBudget())
+
     def update_tables(self, newer):
         """Replace the tables if ``newer`` has a higher revision.
 
--- a/src/mangorock/services.py
+++ b/src/mangorock/services.py
@@ -59,7 +59,7 @@
         left_s,
         env.rng.random(),
     )
-    env.retry_budget.earn()
+    env.retry_budget(context.pool.name).earn()
     try:
         response, is_replay = await run_with_claim(context)
     finally:
@@ -91,7 +91,7 @@
         identity,
         env.tables.pools[route.pool],
         time.monotonic() + limit_ms / 1000.0,
-        attempts.Attempts(is_repeatable, env.retry_budget),
+        attempts.Attempts(is_repeatable, env.retry_budget(route.pool)),
         forward.is_from_peer(env, request.headers),
     )
 
--- a/tests/test_units.py
+++ b/tests/test_units.py
@@ -5,7 +5,9 @@
 """
 
 import random
+import types
 import unittest
+from unittest import mock
 
 import orjson
 
@@ -13,7 +15,9 @@
 from mangorock import claims
 from mangorock import ctl
 from mangorock import engine
+from mangorock import environment
 from mangorock import errors
+from mangorock import forward
 from mangorock import http
 from mangorock import identify
 from mangorock import limits
@@ -23,6 +27,7 @@
 from mangorock import relay
 from mangorock import router
 from mangorock import rows
+from mangorock import services
 from mangorock import settings
 from mangorock import tables
 from mangorock_standins import fleet
@@ -300,6 +305,32 @@
             spent += budget.spend()
         self.assertLessEqual(spent, 1000 * 0.1 + limits.RETRY_BURST)
 
+    def test_retries_at_one_pool_are_not_paid_for_by_another(self):
+        env = environment.make_environment(mock.MagicMock(statsd_address=''))
+        env.tables_history.current = types.SimpleNamespace(
+            pools={'busy': 1, 'failing': 2}
+        )
+        found = {}
+        for pool in ('busy', 'failing'):
+            identity = mock.MagicMock()
+            identity.route = types.SimpleNamespace(
+                kind='service', pool=pool, deadline_ms=1, is_repeatable=True
+            )
+            with (
+                mock.patch.object(
+                    forward, 'identify_caller', return_value=identity
+                ),
+                mock.patch.object(forward, 'is_from_peer'),
+            ):
+                found[pool] = services.make_context(
+                    env, mock.MagicMock(deadline_ms=1), mock.MagicMock()
+                ).attempts.budget
+        while found['busy'].spend():
+            pass
+        for _ in range(100):
+            found['busy'].earn()
+        self.assertEqual(limits.RETRY_BURST, found['failing'].balance)
+
 
 class TestRouter(unittest.TestCase):
     def make_router(self):
