Avoid a server that refuses requests, instead of preferring it

Callers were refused although other servers had room. The time of a refusal was taken for the time of an answer, so that a server that refuses at once looked fast and got the next request, and each refusal cost a retry. A refusal counts as a failure in the placement now, its time does not count.

--- a/src/mangorock/placement.py
+++ b/src/mangorock/placement.py
@@ -173,12 +173,23 @@
                 + (1 - LATENCY_WEIGHT) * load.latency_s
             )
         load.latency_s = latency_s
+        self._record_report(server, report, now)
+
+    def _record_report(self, server, report, now):
         if report is not None:
-            load.report = report
-            load.reported_s = now
+            load = self.load(server)
+            load.report, load.reported_s = report, now
+
+    def on_refusal(self, server, report, now):
+        """Record that a server refused a request, and its load ``report``.
+
+        The time that it took is not that of an answer.
+        """
+        self._record_report(server, report, now)
+        self.on_failure(server, now)
 
     def on_failure(self, server, now):
-        """Penalise a server for a failed answer.
+        """Penalise a server for a failed or refused request.
 
         Without the penalty a server that fails at once would look fast.
         """
--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -207,8 +207,11 @@
             await timer.read(exchange.read_head)
             answer = self._decode_head(exchange)
         now = time.monotonic()
-        latency_s = now - sent_s
-        self.placer.on_answer(dispatch.server, answer.load, latency_s, now)
+        server, report = dispatch.server, answer.load
+        if answer.has_not_run:
+            self.placer.on_refusal(server, report, now)
+        else:
+            self.placer.on_answer(server, report, now - sent_s, now)
         if answer.is_success and not dispatch.is_prefill:
             check_success(answer)
         return answer
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -180,6 +180,25 @@
         log = run_desk(rates, ('prefill', 'decode'), seconds=13.0, share=0.8)
         self.assertLessEqual(log.excess('llm'), 0)
 
+    def test_server_that_refuses_fast_does_not_attract_requests(self):
+        # The time of a refusal was taken for that of an answer.
+        def answer(request):
+            return [0.05, workers.whole_response(request)]
+
+        async def main():
+            refusing = workers.Worker(
+                'w1', 'desk', workers.not_executed_response
+            )
+            sound = workers.Worker('w2', 'desk', answer)
+            async with fleet.Fleet(refusing, sound) as cluster:
+                for _ in range(20):
+                    exchange, _ = await cluster.request('GET', '/look/')
+                    statuses.append(exchange.status)
+
+        statuses = []
+        curio.run(main)
+        self.assertEqual([200] * 20, statuses)
+
 
 if __name__ == '__main__':
     unittest.main()
