Ignore odd entries among those of the servers

Callers got 500 for requests that were placed on a server whose port is out of range, and servers that came later were not seen: the message about a nested field exceeded the recursion limit, which no decoder expects, so that each listing of the servers failed.

--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -13,7 +13,9 @@
 an unknown class, as another build may send it, is dropped.
 """
 
+import ipaddress
 import itertools
+import math
 import socket
 import time
 
@@ -22,6 +24,7 @@
 import curio.io
 import orjson
 
+from mangorock import address as addresses
 from mangorock import logs
 from mangorock import membership
 from mangorock import messages
@@ -86,9 +89,14 @@
     vm = item.key.rpartition('/')[2]
     try:
         region, host, port, capacity = orjson.loads(item.value)
-        socket.inet_aton(host)
-        return Peer(vm, str(region), (host, int(port)), float(capacity))
-    except (ValueError, TypeError, OSError) as exc:
+        ipaddress.IPv4Address(host)
+        capacity = float(capacity)
+        if not 0.0 < capacity < math.inf:
+            raise ValueError('the capacity is not above 0')
+        return Peer(
+            vm, str(region), (host, addresses.check_port(port)), capacity
+        )
+    except (ValueError, TypeError, RecursionError) as exc:
         logs.warning('vm_malformed', key=item.key, error=repr(exc))
         return None
 
