Take no answer without an id for that of a later request

Clients were told that a request had not run although a server was running it, or it ran at a second server. A server may write an earlier refusal once more on a kept connection. One that names its request was skipped; one without an id passed for the refusal of the request sent last. An answer without an id on a connection with earlier requests is no valid answer now, so that the request counts as one that may have run. On a new connection it still counts.

--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -189,6 +189,7 @@
         )
         await timer.read(exchange.read_head)
         answer = self._decode_head(exchange)
+        check_origin(answer, exchange.is_reused)
         foreign_answers = 0
         while answer.request_id not in ('', request.request_id):
             foreign_answers += 1
@@ -206,6 +207,7 @@
             exchange.expect_response()
             await timer.read(exchange.read_head)
             answer = self._decode_head(exchange)
+            check_origin(answer, True)
         now = time.monotonic()
         server, report = dispatch.server, answer.load
         if answer.has_not_run:
@@ -250,6 +252,19 @@
             )
 
 
+def check_origin(answer, has_earlier_requests):
+    """Raise `InvalidAnswer` for an answer that may be to another request.
+
+    That is one without a request id where the connection had others: a
+    server may have written the answer to one of them once more.
+    """
+    if has_earlier_requests and not answer.request_id:
+        raise InvalidAnswer(
+            'the answer has no request id on a connection with earlier '
+            'requests'
+        )
+
+
 def check_success(answer):
     """Raise `InvalidAnswer` for a success that the server did not send."""
     if not answer.is_signed:
