Keep an error of the next server out of a stream that was begun

Callers found the text of an error, or its whole head, between the events of a stream that broke off and was resumed. An answer with a failure status was kept out; one with status 200 whose body is an error passed, as an event without an id was relayed unchecked. After an event with an id each further one must have the next id, except for comments. A stream whose events had no ids was begun anew at the next server, so that its caller got them twice: it is broken off now.

--- a/src/mangorock/delivery.py
+++ b/src/mangorock/delivery.py
@@ -31,6 +31,11 @@
     paced_from_s: float = 0.0
     paced_events: int = 0
 
+    @property
+    def is_resumable(self):
+        """Say whether another server can be told where to go on."""
+        return self.splitter.last_id is not None
+
     def switch_server(self, placer, server, on_first_event, on_pace):
         """Relay the events of another server from now on.
 
--- a/src/mangorock/events.py
+++ b/src/mangorock/events.py
@@ -17,6 +17,9 @@
 import attrs
 
 _END = re.compile(rb'\r?\n\r?\n')
+# Lines that begin with a colon say nothing; servers send them to keep a
+# connection open.
+_COMMENTS = re.compile(rb'(?::[^\n]*(?:\n|\Z)|\r?\n)*')
 _ID = re.compile(rb'(?:^|\n)id: ?(\d+)\r?(?:\n|$)')
 
 
@@ -26,7 +29,10 @@
 
 
 class EventOrderError(Exception):
-    """The ids of the events are not consecutive, or an event has no end."""
+    """An event does not belong where it came.
+
+    The ids are not consecutive, one is missing, or an event has no end.
+    """
 
 
 @attrs.define
@@ -43,7 +49,8 @@
     def feed(self, data):
         """Return the events that ``data`` completes, as bytes.
 
-        Raises `EventOrderError` if an id does not follow the one before.
+        Raises `EventOrderError` if an id does not follow the one before, or
+        is missing after others: such text may be an error of the server.
         """
         data = self.partial_event + data
         end_offset = 0
@@ -60,8 +67,12 @@
     def _check_id(self, event):
         self.event_count += 1
         found = _ID.search(event)
-        if found is None:
+        if found is None and self.last_id is None:
             return
+        if found is None:
+            if _COMMENTS.fullmatch(event):
+                return
+            raise EventOrderError(f'an event after {self.last_id} has no id')
         event_id = int(found.group(1))
         if self.last_id is not None and event_id != self.last_id + 1:
             raise EventOrderError(
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -72,6 +72,8 @@
                 case sending.Whole(answer, body):
                     if self._is_final(answer):
                         return await gateway.deliver(context, answer, body)
+            if self.relay.reply.is_started and not self.relay.is_resumable:
+                raise refusals.backend_broken()
             self.relay.splitter.restart()
             retries.prepare(gateway, context, placed.decode, outcome)
 
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -3,11 +3,13 @@
 import unittest
 
 import curio
+import h11
 
 from tests import fleet
 from tests import test_front
 from tests import workers
 
+CHUNKED = b'Transfer-Encoding: chunked'
 # Statuses that say that a request has not run.
 NOT_RUN = (408, 421, 429, 503)
 
@@ -69,5 +71,93 @@
         self.assertEqual(200, exchange.status)
 
 
+def break_off(request):
+    """Return the first two events of a stream, which then breaks off."""
+    head = workers.response_head(request, CHUNKED)
+    return [head + workers.event_chunks(1, 2), 0.05, workers.CLOSE]
+
+
+def answer_whole(status, body, *more):
+    """Return a handler that answers with a signed whole body."""
+
+    def handle(request):
+        length = b'Content-Length: %d' % len(body)
+        head = workers.response_head(request, length, *more, status=status)
+        return head + body
+
+    return handle
+
+
+class BrokenStream(unittest.TestCase):
+    """A stream was begun and broke off; the next server answers an error."""
+
+    async def _read(self, handler):
+        """Return what the caller reads, and whether it ended as complete."""
+
+        def serve(request):
+            if 'last-event-id' in request.headers:
+                return handler(request)
+            return break_off(request)
+
+        servers = [workers.Worker(f'd{n}', 'llm', serve) for n in range(3)]
+        async with fleet.Fleet(*servers) as cluster:
+            exchange = await cluster.open()
+            headers = cluster.request_headers(*fleet.prompt_headers())
+            data, is_complete = b'', False
+            try:
+                await exchange.send('POST', '/read/', headers, b'')
+                while not exchange.is_body_complete:
+                    data += await exchange.read_some()
+                is_complete = True
+            except (OSError, h11.ProtocolError):
+                is_complete = False
+            await cluster.client.discard(exchange)
+        return exchange.status, data, is_complete
+
+    @test_front.run
+    async def test_stream_without_ids_is_not_begun_again(self):
+        # What the caller had was sent to it once more.
+        def serve(request):
+            length = b'Content-Length: 99'
+            head = workers.response_head(request, length)
+            return [head + b'data: a\n\n', 0.05, workers.CLOSE]
+
+        servers = [workers.Worker(f'd{n}', 'llm', serve) for n in range(2)]
+        async with fleet.Fleet(*servers) as cluster:
+            exchange = await cluster.open()
+            headers = cluster.request_headers(*fleet.prompt_headers())
+            await exchange.send('POST', '/read/', headers, b'')
+            with self.assertRaises((OSError, h11.ProtocolError)):
+                await exchange.read()
+            self.assertEqual(b'data: a\n\n', bytes(exchange.body))
+            await cluster.client.discard(exchange)
+
+    def test_error_is_not_part_of_the_stream(self):
+        events = b'id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n'
+        text = b'data: the engine failed\n\nevent: error\ndata: 500\n\n'
+        plain = b'HTTP/1.1 500 X\r\nX: y\r\n\r\nfailed\n\nfailed\n\n'
+        for name, handler in (
+            ('500', answer_whole(500, text)),
+            ('500 plain', answer_whole(500, plain)),
+            ('400', answer_whole(400, text)),
+            ('503', answer_whole(503, text)),
+            ('refusal', lambda request: refusal(request.request_id)),
+            ('200 with an error', answer_whole(200, text)),
+            ('200 with a head', answer_whole(200, plain)),
+            ('200 with JSON', answer_whole(200, b'{"error":\n\n"x"}\n\n')),
+            (
+                '500 in chunks',
+                lambda request: (
+                    workers.response_head(request, CHUNKED, status=500)
+                    + b'%x\r\n%s\r\n0\r\n\r\n' % (len(text), text)
+                ),
+            ),
+        ):
+            with self.subTest(name):
+                status, data, is_complete = curio.run(self._read, handler)
+                self.assertEqual((200, events), (status, data))
+                self.assertFalse(is_complete)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -121,6 +121,15 @@
             with self.assertRaises(events.EventOrderError):
                 splitter.feed(data)
 
+    def test_text_without_an_id_is_a_fault_unless_it_is_a_comment(self):
+        sound = b'id: 1\ndata: a\n\n'
+        comments = b': wait\n\n:\r\n: wait\r\n\r\n'
+        splitter = events.EventSplitter()
+        self.assertEqual(sound + comments, splitter.feed(sound + comments))
+        for text in (b'data: b\n\n', b'{}\n\n', b':' * 90 + b'\nfailed\n\n'):
+            with self.assertRaises(events.EventOrderError):
+                events.EventSplitter(1).feed(text)
+
     def test_resumed_stream_continues_after_the_last_complete_event(self):
         splitter = events.EventSplitter()
         splitter.feed(b'id: 1\ndata: x\n\nid: 2\nda')
