--- a/tests/soak.py
+++ b/tests/soak.py
@@ -266,6 +266,7 @@
                     self._make_kept_caller(number).run, self.client
                 )
             end_s = soak_world.now() + seconds
+            await self._spawn(self._refuse_services, end_s)
             while soak_world.now() < end_s:
                 action = self.rng.choice(ACTIONS)
                 await self._spawn(getattr(self, f'_{action}'))
@@ -275,6 +276,7 @@
         finally:
             await self.close()
         self._audit()
+        self.checker.check_arrivals()
         return self.checker.violations
 
     def _make_kept_caller(self, number):
@@ -319,7 +321,7 @@
         for proxy in [*self.proxies.values(), *(v.proxy for v in self.vms)]:
             proxy.mode = 'fine'
         for server in self.servers:
-            server.fault = 'fine'
+            server.fault, server.refuses_all = 'fine', False
         for vm in self.vms:
             served = False
             try:
@@ -357,6 +359,22 @@
         await curio.sleep(self.rng.uniform(0.3, 3.0))
         setattr(target, name, normal)
 
+    async def _refuse_services(self, end_s):
+        """Have all servers of a service refuse everything, at times."""
+        rng = soak_world.make_rng(self.seed, 'refuse')
+        while True:
+            await curio.sleep(rng.uniform(0.5, 4.0))
+            service = rng.choice(('desk', 'annex', 'llm'))
+            refuse_s = rng.uniform(0.5, 4.0)
+            if soak_world.now() + refuse_s > end_s:
+                return
+            servers = [s for s in self.servers if s.service == service]
+            for server in servers:
+                server.refuses_all = True
+            await curio.sleep(refuse_s)
+            for server in servers:
+                server.refuses_all = False
+
     async def _proxy_store(self):
         proxy = self.rng.choice(self.vms).proxy
         mode = self.rng.choice(soak_proxy.MODES)
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -15,6 +15,7 @@
 import orjson
 
 from mangorock import client as clients
+from tests import arrivals as arrival_logs
 from tests import fleet
 from tests import workers
 
@@ -31,6 +32,8 @@
 # part of an answer that is sound and complete.
 FAULTS = ('fine', 'full', 'cut', 'foreign', 'extra', 'hang', 'silent')
 BREAKING_FAULTS = frozenset(('cut', 'foreign', 'extra', 'hang'))
+# The services that the routes of a kind of request may lead to.
+SERVICES = {'safe': ('desk', 'annex'), 'unsafe': ('desk', 'annex')}
 SILENCE_RANGE_S = (0.4, 2.2)
 
 
@@ -62,11 +65,14 @@
     ``runs`` maps request ids to the servers that executed the request,
     ``statuses`` to the status that the caller received and ``attempts`` to
     the `Attempt`.  ``broken`` holds the ids of requests that a server broke
-    off.
+    off, ``arrivals`` what reached which service.
     """
 
     attempts: dict = attrs.field(factory=dict)
     broken: set = attrs.field(factory=set)
+    arrivals: arrival_logs.ArrivalLog = attrs.field(
+        factory=arrival_logs.ArrivalLog
+    )
     runs: dict = attrs.field(factory=lambda: collections.defaultdict(list))
     statuses: dict = attrs.field(factory=dict)
     counts: collections.Counter = attrs.field(factory=collections.Counter)
@@ -89,6 +95,14 @@
         if kind in RUNS_ONCE and is_false:
             self.violations.append(f'{request_id} got {status} and has run')
 
+    def check_arrivals(self):
+        """Check that no service got more repeats than it may."""
+        for service in self.arrivals.sent:
+            excess = self.arrivals.excess(service)
+            self.check(
+                excess <= 0, f'{service} got {excess} repeats too many in 10 s'
+            )
+
     def check(self, is_satisfied, violation):
         """Record a violation unless the invariant holds."""
         if not is_satisfied:
@@ -129,6 +143,7 @@
         super().__init__(name, service, self._run, stage=stage)
         self.checker, self.rng = checker, rng
         self.fault, self.fault_share = 'fine', 0.3
+        self.refuses_all, self.refused = False, set()
 
     def proxied_entry(self, port, state='ready', sequence=1):
         """Return the server's store entry with the address of its proxy."""
@@ -137,17 +152,33 @@
         return entry
 
     def _run(self, request):
+        response = self._respond(request)
+        # Reports, and handles that are freed, have no id.
+        if request.request_id:
+            is_accepted = request.request_id not in self.refused
+            self.checker.arrivals.record_arrival(
+                request, self.service, is_accepted, now()
+            )
+            self.refused.discard(request.request_id)
+        return response
+
+    def _respond(self, request):
         if request.headers.get('x-expect-instance', self.name) != self.name:
+            self.refused.add(request.request_id)
             length = b'Content-Length: 0'
             return workers.response_head(
                 request, b'X-Not-Executed: 1', length, status=421
             )
+        if self.refuses_all and request.request_id:
+            self.refused.add(request.request_id)
+            return workers.not_executed_response(request)
         if request.method == 'DELETE' or 'x-serving-stage' in request.headers:
             handle = orjson.dumps({'handle': f'h{self.rng.random()}'})
             return [0.02, workers.whole_response(request, handle)]
         is_faulty = self.rng.random() < self.fault_share
         fault = self.fault if is_faulty else 'fine'
         if fault == 'full':
+            self.refused.add(request.request_id)
             return workers.not_executed_response(request)
         kind = kind_of(request.target)
         self.checker.record_run(request.request_id, kind, self.name)
@@ -257,6 +288,8 @@
         exchange = self.exchange
         attempt = Attempt(request_id, kind, self.vm, manner, idle_s, now())
         self.checker.attempts[request_id] = attempt
+        for service in SERVICES.get(kind, ('llm',)):
+            self.checker.arrivals.record_sent(service, attempt.sent_s)
         path, sizes = describe_request(kind, self.rng)
         headers = [
             ('host', fleet.HOST),
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -351,6 +351,29 @@
         self.assertAlmostEqual(5.4, found.watch_wait_s)
         self.assertEqual(('10.0.0.1', 7660), found.peer_address)
 
+    def test_retry_terms_follow_from_the_bounds(self):
+        file = {
+            'nodeName': 'vm-1',
+            'zone': 'a',
+            'ip': '10.0.0.1',
+            'listen': {'front': '10.0.0.1:80', 'ready': '10.0.0.1:81'},
+            'platform': {'address': '10.0.0.9:1'},
+            'bounds': {
+                'graceS': 8,
+                'retryBudgetRatio': 0.5,
+                'budgetWindowS': 20,
+                'budgetSlack': 0,
+            },
+        }
+        found = settings.decode(file).retry_terms
+        self.assertEqual((20.0, 0.0), (found.window_s, found.slack))
+        self.assertTrue(0.4 < found.ratio <= 0.5)
+        for name in ('retryBudgetRatio', 'budgetWindowS', 'budgetSlack'):
+            file['bounds'][name] = -1
+        with self.assertRaises(errors.SettingsError) as caught:
+            settings.decode(file)
+        self.assertEqual(3, caught.exception.message.count('is -1'))
+
     def test_invalid_port_is_reported(self):
         with self.assertRaises(errors.SettingsError) as caught:
             settings.decode({'internalPorts': ['x']})
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from tests import arrivals
 from tests import soak
 from tests import soak_audit
 from tests import soak_world
@@ -52,6 +53,18 @@
             caller._check_answer('safe', 'r1', exchange, body)
             self.assertEqual(1, len(checker.violations))
 
+    def test_repeats_beyond_the_bound(self):
+        checker = soak_world.InvariantChecker()
+        for number in range(arrivals.SLACK + 2):
+            request = workers.ReceivedRequest(
+                'GET', '/look/', {'x-request-id': f'r{number}'}, b''
+            )
+            for _ in range(2):
+                checker.arrivals.record_arrival(request, 'desk', True, 1.0)
+        checker.arrivals.record_sent('desk', 1.0)
+        checker.check_arrivals()
+        self.assertEqual(1, len(checker.violations))
+
     def test_complete_stream_without_an_event(self):
         checker = soak_world.InvariantChecker()
         caller = soak_world.Caller(1, checker, None, [])
