Reserve the retry of a silent server before it is given up

A stream could be cut off although a retry was left when its server was given up: other requests of the VM may spend the budget between that decision and the next send. The decision reserves what the retry costs now, a prefill included, and what is not needed is given back when the request is sent.

--- a/src/mangorock/budget.py
+++ b/src/mangorock/budget.py
@@ -143,10 +143,11 @@
         self.reserved += max(0, missing)
         return True
 
-    def send(self, now):
+    def send(self, now, is_prefill=False):
         """Record a send that is about to start, and pay for a repeat.
 
-        Returns whether the budget allows it.
+        Returns whether the budget allows it.  What is still reserved when the
+        request is sent to run is given back.
         """
         self.paid_at_s = None
         if self.counted:
@@ -157,6 +158,8 @@
             self._pay(now)
         self.sends += 1
         self.counted += 1
+        if not is_prefill:
+            self.close()
         return True
 
     def _pay(self, now):
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -296,27 +296,33 @@
 
         It cannot where others wait for a server.
         ``place(servers)`` chooses one of the other servers, None if none
-        has room.
+        has room.  What the retry costs is reserved, as other requests may
+        spend the budget before this one is sent again.
         """
         queue = self.wait_queues.get(context.service)
-        can_pay = context.ledger.can_pay(time.monotonic())
-        if not can_pay or (queue and queue.waiters):
+        if queue and queue.waiters:
             return False
         others = [s for s in self.eligible_servers(context) if s != server]
-        return bool(others) and place(others) is not None
+        if not others or place(others) is None:
+            return False
+        return context.ledger.reserve(time.monotonic())
 
-    def make_dispatch(self, context, server, **options):
+    def make_dispatch(self, context, server, is_prefill=False, **options):
         """Return the `traffic.Dispatch` of this request to a server.
 
         Each send needs one, as it is paid for here.
         """
         self.check_quarantine(context)
         now = time.monotonic()
-        if not context.ledger.send(now):
+        if not context.ledger.send(now, is_prefill):
             raise refusals.backend_refused(context, self.retry_after_s())
         context.sent_at_s, context.begun_at_s = now, 0.0
         return traffic.Dispatch(
-            server, context.left_s, priority=context.route.priority, **options
+            server,
+            context.left_s,
+            is_prefill=is_prefill,
+            priority=context.route.priority,
+            **options,
         )
 
     async def deliver(self, context, answer, body):
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -242,7 +242,7 @@
     def _place_replacement(self, servers):
         """Return a placement for which time and retry budget suffice, or None.
 
-        Another prefill of the prompt is a retry of its own.
+        What a prefill costs beside the decode is reserved.
         """
         placed = self._place_on(servers)
         if placed is None:
@@ -256,8 +256,8 @@
             return placed
         if self.prefill_attempts >= MAX_PREFILL_ATTEMPTS:
             return None
-        can_pay = self.context.ledger.can_pay(time.monotonic(), True)
-        return placed if can_pay else None
+        is_paid = self.context.ledger.reserve(time.monotonic(), True)
+        return placed if is_paid else None
 
     def _may_prefill(self):
         """Reserve a prefill and its decode; return whether that is allowed."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -227,7 +227,7 @@
     )
 
 
-class _HeldShare(presence.SlackShare):
+class HeldShare(presence.SlackShare):
     """The share of a VM that is alone and holds all of the slack."""
 
     def part(self, settle_s, now):
@@ -263,7 +263,7 @@
         budgets = self.front.gateway.budgets
         budgets.services.clear()
         budgets.terms = budget.Terms(0.0, FOREVER_S, count)
-        budgets.share = _HeldShare()
+        budgets.share = HeldShare()
 
     async def __aenter__(self):
         await self.store.start()
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -14,6 +14,7 @@
 import curio
 import h11
 
+from mangorock import budget
 from mangorock import client as clients
 from tests import arrivals
 from tests import fleet
@@ -167,6 +168,80 @@
     return curio.run(main)
 
 
+def open_ledger(repeats, others=0):
+    """Return a ledger in a budget with so many repeats and other ledgers."""
+    terms = budget.Terms(0.0, 10.0, repeats)
+    share = fleet.HeldShare()
+    service = budget.ServiceBudget(terms, share)
+    found = [budget.Ledger(service) for _ in range(1 + others)]
+    return found if others else found[0]
+
+
+class Ledgers(unittest.TestCase):
+    """Each arrival beyond the first is paid for, at any order of sends."""
+
+    def test_first_accepted_prefill_is_free(self):
+        ledger = open_ledger(0)
+        self.assertTrue(ledger.send(1.0, True))
+        ledger.on_prefilled()
+        self.assertTrue(ledger.send(1.1))
+        self.assertEqual((2, 0), (ledger.sends, ledger.paid))
+
+    def test_refused_prefill_makes_the_decode_a_repeat(self):
+        ledger = open_ledger(1)
+        self.assertTrue(ledger.send(1.0, True))
+        self.assertTrue(ledger.reserve(1.0))
+        self.assertTrue(ledger.send(1.1))
+        self.assertFalse(ledger.reserve(1.2))
+        self.assertFalse(ledger.send(1.2))
+        self.assertEqual((2, 1), (ledger.sends, ledger.paid))
+
+    def test_accepted_prefill_after_a_refused_one_pays_for_the_decode(self):
+        ledger = open_ledger(1)
+        ledger.send(1.0, True)
+        self.assertTrue(ledger.reserve(1.0, True))
+        self.assertTrue(ledger.send(1.1, True))
+        ledger.on_prefilled()
+        self.assertTrue(ledger.send(1.2))
+        self.assertEqual((3, 1), (ledger.sends, ledger.paid))
+
+    def test_second_prefill_and_its_decode_are_reserved_together(self):
+        ledger = open_ledger(1)
+        ledger.send(1.0, True)
+        ledger.on_prefilled()
+        ledger.send(1.1)
+        self.assertFalse(ledger.reserve(1.2, True))
+        self.assertTrue(ledger.reserve(1.2))
+
+    def test_what_reached_no_server_is_not_paid_for(self):
+        first, second = open_ledger(1, others=1)
+        for ledger in (first, second):
+            ledger.send(1.0)
+        self.assertTrue(first.send(1.1))
+        self.assertFalse(second.reserve(1.2))
+        first.on_unreachable()
+        self.assertFalse(second.reserve(1.2))
+        self.assertTrue(first.send(1.3))
+        self.assertEqual((2, 1), (first.sends, first.paid))
+
+    def test_reservation_is_kept_from_others_until_it_is_given_back(self):
+        first, second = open_ledger(1, others=1)
+        for ledger in (first, second):
+            ledger.send(1.0)
+        self.assertTrue(first.reserve(1.1))
+        self.assertFalse(second.reserve(1.1))
+        first.close()
+        first.close()
+        self.assertTrue(second.reserve(1.1))
+
+    def test_repeats_are_forgotten_after_the_window(self):
+        ledger = open_ledger(1)
+        ledger.send(1.0)
+        self.assertTrue(ledger.send(2.0))
+        self.assertFalse(ledger.reserve(11.5))
+        self.assertTrue(ledger.reserve(13.1))
+
+
 class RefusingServers(unittest.TestCase):
     """Servers that refuse fast get no more repeats than their service may."""
 
