--- a/src/mangorock/choice.py
+++ b/src/mangorock/choice.py
@@ -18,8 +18,8 @@
 
 import attrs
 
-from mangorock import placement
 from mangorock import registry
+from mangorock import rendezvous
 
 # A copy of a document evicts others from an engine's cache; this share of them
 # will have to be prefilled again.
@@ -192,7 +192,7 @@
             return Sources(holders, None)
         affinity_server = max(
             (state.server for state in decodes),
-            key=lambda s: placement.rendezvous_weight(request.document, s),
+            key=lambda s: rendezvous.weight(request.document, s),
         )
         return Sources([], affinity_server)
 
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -36,8 +36,6 @@
 # The lease for orders lasts this many times the spacing that the orders of
 # two VMs must have; no order is sent in its second half.
 ORDER_LEASE_FACTOR = 2.0
-# Allowance for ending a silent watch, a listing, and slow VMs and calls.
-WATCH_MARGIN_S = 1.6
 # Part of the grace period reserved for closing open connections.
 STOP_MARGIN_S = 0.4
 # Interval at which the settings file is read again without a signal.
@@ -50,52 +48,6 @@
 LAST_ANSWERS_S = 0.2
 
 
-# Bound on the retries of all VMs where the platform states none.
-DEFAULT_RETRY_TERMS = budget.Terms(ratio=0.1, window_s=10.0, slack=0.0)
-
-
-@attrs.frozen
-class FrontSettings:
-    """The settings that the daemon reads from its settings file.
-
-    Addresses are (host, port); ``metrics_address`` may be None.
-    ``grace_s`` is the time between SIGTERM and SIGKILL.  Other VMs of
-    ``region`` reach this one at ``peer_address`` (None: not at all);
-    ``capacity`` is its processor capacity in cores.  The platform expects
-    normal operation ``stable_s`` after a disturbance: from then on a new
-    configuration is in force within ``config_s``, and a draining server
-    gets no new requests after ``drain_s``.  Orders of two VMs to one engine
-    must be ``order_spacing_s`` apart.  ``retry_terms`` bound the retries of
-    all VMs.
-    """
-
-    vm: str
-    failure_domain: str
-    caller_address: tuple
-    ready_address: tuple
-    store_address: str
-    grace_s: float
-    metrics_address: tuple | None = None
-    peer_address: tuple | None = None
-    region: str = ''
-    capacity: float = 1.0
-    stable_s: float = 3.0
-    config_s: float = 2.0
-    drain_s: float = 2.0
-    order_spacing_s: float = 3.0
-    retry_terms: budget.Terms = DEFAULT_RETRY_TERMS
-
-    @property
-    def watch_wait_s(self):
-        """Return the longest time that a watch may wait for a change.
-
-        If a disturbance cuts off a watch silently, it ends early enough for
-        a new watch to report in time what changed meanwhile.
-        """
-        change_s = min(self.config_s, self.drain_s)
-        return max(1.0, self.stable_s + change_s - WATCH_MARGIN_S)
-
-
 class FrontDaemon:
     """The tasks of the daemon, with explicit `start` and `close`.
 
@@ -283,7 +235,7 @@
     def reload(self, load_settings):
         """Apply a changed settings file; an invalid one changes nothing.
 
-        ``load_settings()`` returns `FrontSettings` or raises
+        ``load_settings()`` returns `bounds.FrontSettings` or raises
         `errors.SettingsError`.  The store address and the grace period take
         effect at once, all other settings at the next start.
         """
@@ -394,7 +346,7 @@
 async def serve(load_settings, platform, received):
     """Run until SIGTERM; return whether every request was served.
 
-    ``load_settings()`` returns `FrontSettings`; ``platform`` is as for
+    ``load_settings()`` returns `bounds.FrontSettings`; ``platform`` is as for
     `FrontDaemon`; ``received`` are the `signals.Signals` of the process.
     """
     front = FrontDaemon(load_settings(), platform)
--- a/src/mangorock/placement.py
+++ b/src/mangorock/placement.py
@@ -15,12 +15,11 @@
   that what has been sent finishes in time.
 """
 
-import hashlib
-
 import attrs
 
 from mangorock import engines
 from mangorock import registry
+from mangorock import rendezvous
 
 # A shared part is routed to the engine that caches it if its prefill takes at
 # least this long, in seconds; a shorter one is not worth the detour.
@@ -283,8 +282,8 @@
             in_flight += self.load(option.prefill).in_flight
         return (
             option.wait_s + IN_FLIGHT_PENALTY_S * in_flight,
-            rendezvous_weight(key, option.prefill or option.decode),
-            rendezvous_weight(key, option.decode),
+            rendezvous.weight(key, option.prefill or option.decode),
+            rendezvous.weight(key, option.decode),
         )
 
     def _affinity_server(self, prompt, decode_engines):
@@ -298,7 +297,7 @@
             return None
         key = prompt.shared_part_id
         return max(
-            decode_engines, key=lambda server: rendezvous_weight(key, server)
+            decode_engines, key=lambda server: rendezvous.weight(key, server)
         )
 
     def _gap_s(self, server, now):
@@ -396,9 +395,3 @@
     It stays at 1 for one second, then halves every second.
     """
     return 0.5 ** max(0.0, age_s - 1.0)
-
-
-def rendezvous_weight(key, server):
-    """Return the rendezvous hash of a server for ``key``."""
-    text = f'{key}/{server.server_id}'.encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -14,6 +14,7 @@
 import curio
 import orjson
 
+from mangorock import bounds
 from mangorock import budget
 from mangorock import client
 from mangorock import front
@@ -245,7 +246,7 @@
         self.store.put('op/config', config or make_config(2))
         for worker in workers:
             self.store.put(f'servers/{worker.name}', worker.entry())
-        self.settings = front.FrontSettings(
+        self.settings = bounds.FrontSettings(
             vm='vm-1',
             failure_domain='a',
             caller_address=('127.0.0.1', ports.free_port()),
