--- a/tests/test_forwarding_fuzz.py
+++ b/tests/test_forwarding_fuzz.py
@@ -127,7 +127,11 @@
 
 
 def allowed_repeats(requests, start):
-    """Return the bound for the window that begins at ``start``."""
+    """Return the bound for the window that begins at ``start``.
+
+    The platform takes the requests of this window, of the one before it or of
+    the one half a window before it, whichever are most.
+    """
     counts = (
         sum(requests[max(0, first) : max(0, first + WINDOW_S)])
         for first in (start, start - WINDOW_S // 2, start - WINDOW_S)
