Log which call to the store failed and how long it was open

A lost watch, a lost listing and a store that refuses left the same line, so that the logs could not tell a watch given up too late from a listing that is repeated too seldom. Now store_lost names the call and its age, and store_regained the revision after it.

--- a/src/mangorock/mirror.py
+++ b/src/mangorock/mirror.py
@@ -161,12 +161,16 @@
     """
     unavailable_since_s = None
     while True:
+        opened_s = time.monotonic()
         try:
             events = await _step(mirror, store, on_listing, on_events, wait_s)
             if unavailable_since_s is not None:
                 away_s = time.monotonic() - unavailable_since_s
                 logs.event(
-                    'store_regained', prefix=mirror.prefix, away_s=away_s
+                    'store_regained',
+                    prefix=mirror.prefix,
+                    revision=mirror.revision,
+                    away_s=away_s,
                 )
                 unavailable_since_s = None
             if events:
@@ -185,6 +189,8 @@
                     'store_lost',
                     prefix=mirror.prefix,
                     revision=mirror.revision,
+                    call=type(mirror.next_call()).__name__,
+                    open_s=time.monotonic() - opened_s,
                     error=exc.message,
                 )
             await curio.sleep(mirror.on_failure(rng.random()))
