Give a lost watch of the store up within the stable window

Cause: the wait of a watch was stable window + bound of a change - 1.6 s, and 0.6 s more until it was given up: 4.0 s of 3.0 s. That counts the bound from the end of the silence; it counts from the acknowledgement, which lies before that end. Two modules had a WATCH_MARGIN_S of different meaning.

Change: mirror.Timing divides the stable window among the wait, the time-out, the pause and the listing, and does the same for a page of a listing that is lost. The state machine returns the times with its calls. The worst case, a call opened just before the end of a silence, then ends in time for every window; nothing is derived from one site's figures.

--- a/src/mangorock/bounds.py
+++ b/src/mangorock/bounds.py
@@ -3,9 +3,8 @@
 import attrs
 
 from mangorock import budget
+from mangorock import mirror
 
-# Allowance for ending a silent watch, a listing, and slow VMs and calls.
-WATCH_MARGIN_S = 1.6
 # Bound on the retries of all VMs where the platform states none.
 DEFAULT_RETRY_TERMS = budget.Terms(ratio=0.1, window_s=10.0, slack=0.0)
 
@@ -18,11 +17,12 @@
     ``grace_s`` is the time between SIGTERM and SIGKILL.  Other VMs of
     ``region`` reach this one at ``peer_address`` (None: not at all);
     ``capacity`` is its processor capacity in cores.  The platform expects
-    normal operation ``stable_s`` after a disturbance: from then on a new
-    configuration is in force within ``config_s``, and a draining server
-    gets no new requests after ``drain_s``.  Orders of two VMs to one engine
-    must be ``order_spacing_s`` apart.  ``retry_terms`` bound the retries of
-    all VMs.
+    normal operation ``stable_s`` after a disturbance: from then on a
+    configuration that was stored ``config_s`` ago or earlier is in force,
+    and a server that began to drain ``drain_s`` ago or earlier gets no new
+    requests, also if that was before the disturbance ended.  Orders of two
+    VMs to one engine must be ``order_spacing_s`` apart.  ``retry_terms``
+    bound the retries of all VMs.
     """
 
     vm: str
@@ -42,11 +42,6 @@
     retry_terms: budget.Terms = DEFAULT_RETRY_TERMS
 
     @property
-    def watch_wait_s(self):
-        """Return the longest time that a watch may wait for a change.
-
-        If a disturbance cuts off a watch silently, it ends early enough for
-        a new watch to report in time what changed meanwhile.
-        """
-        change_s = min(self.config_s, self.drain_s)
-        return max(1.0, self.stable_s + change_s - WATCH_MARGIN_S)
+    def mirror_timing(self):
+        """Return the `mirror.Timing` of what is read from the store."""
+        return mirror.make_timing(self.stable_s)
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -75,8 +75,12 @@
             lambda: self.gateway.catalog.limits,
             platform.wire.encode_refusal,
         )
-        self.config_mirror = mirror.Mirror(platform.config_prefix)
-        self.servers_mirror = mirror.Mirror(platform.servers_prefix)
+        self.config_mirror = mirror.Mirror(
+            platform.config_prefix, settings.mirror_timing
+        )
+        self.servers_mirror = mirror.Mirror(
+            platform.servers_prefix, settings.mirror_timing
+        )
         self.is_stopping = False
         self.was_ready = False
         self.store = None
@@ -140,7 +144,6 @@
             on_listing,
             on_events,
             self.rng,
-            self.settings.watch_wait_s,
         )
 
     async def _start_vm_discovery(self, store):
--- a/src/mangorock/isolation.py
+++ b/src/mangorock/isolation.py
@@ -318,7 +318,9 @@
         """Return all stored items and the revision of the first page."""
         items, after, revision = [], '', None
         while True:
-            page = await self.store.list_page(PREFIX, after, is_stale_allowed)
+            page = await self.store.list_page(
+                PREFIX, after, is_stale_allowed=is_stale_allowed
+            )
             items += page.items
             revision = page.revision if revision is None else revision
             if not page.has_more or not page.items:
--- a/src/mangorock/mirror.py
+++ b/src/mangorock/mirror.py
@@ -1,12 +1,18 @@
 """Follows the keys under one prefix of the platform's store.
 
 `Mirror` is the state machine, without sockets or clocks: it returns the next
-call to make and processes its result.  It lists the prefix page by page,
-then watches from the revision of the first page, because the pages are not
-a consistent snapshot.  It lists again after a watch whose history is gone
-and after any failure: a store that interrupts its watches is about to drop
-its history, and a new watch that is opened before that never receives the
-events that it missed.  Failures are retried with exponential backoff.
+call to make and how long to wait for it, and processes the result.  It lists
+the prefix page by page, then watches from the revision of the first page,
+because the pages are not a consistent snapshot.  It lists again after a watch
+whose history is gone and after any failure: a store that interrupts its
+watches is about to drop its history, and a new watch that is opened before
+that never receives the events that it missed.  Failures are retried with
+exponential backoff.
+
+The store may stop responding to this VM at any moment, while it accepts
+changes from others, and nothing tells a watch without events from one that
+was lost.  `Timing` therefore bounds every wait by the time after which the
+mirror must be up to date again.
 
 `follow` is the loop that makes the calls.
 """
@@ -23,8 +29,57 @@
 # watch is delayed by up to this time and returns them in one answer.  Less
 # than half of the shortest bound on the time until a change takes effect.
 BATCH_DELAY_S = 0.8
+# Upper bounds on the times of `Timing`, however long the catch-up may take.
+MAX_CATCH_UP_S = 30.0
+LIST_TIMEOUT_S = 1.5  # The store normally responds within milliseconds.
 MIN_BACKOFF_S = 0.1  # First pause after a failure.
 MAX_BACKOFF_S = 1.0  # A store that is back is noticed within a second.
+# Parts of the time in which the mirror must be up to date after a silence.
+# A watch that was lost is given up, and after the first pause enough is left
+# to list the prefix and to apply the listing.
+WATCH_WAIT_PART = 0.84
+WATCH_TIMEOUT_PART = 0.9
+MIN_BACKOFF_PART = 0.02
+# The same holds for a listing that was lost and the longest pause after it.
+LIST_TIMEOUT_PART = 0.5
+MAX_BACKOFF_PART = 0.33
+
+
+@attrs.frozen
+class Timing:
+    """How long the calls of a mirror may last, in seconds.
+
+    The store ends a watch without events after ``watch_wait_s``; it is
+    considered lost after ``watch_timeout_s``, and a page of a listing after
+    ``list_timeout_s``.  The pauses after failures grow from
+    ``min_backoff_s`` to ``max_backoff_s``.
+    """
+
+    watch_wait_s: float
+    watch_timeout_s: float
+    list_timeout_s: float
+    min_backoff_s: float
+    max_backoff_s: float
+
+
+def make_timing(stable_s):
+    """Return the `Timing` of a mirror that catches up within ``stable_s``.
+
+    From ``stable_s`` seconds after the end of a silence of the store on, it
+    has all changes that were made before that end.
+
+    Example::
+
+        make_timing(stable_s=3.0).watch_timeout_s    # 2.7
+    """
+    catch_up_s = min(MAX_CATCH_UP_S, stable_s)
+    return Timing(
+        WATCH_WAIT_PART * catch_up_s,
+        WATCH_TIMEOUT_PART * catch_up_s,
+        min(LIST_TIMEOUT_S, LIST_TIMEOUT_PART * catch_up_s),
+        min(MIN_BACKOFF_S, MIN_BACKOFF_PART * catch_up_s),
+        min(MAX_BACKOFF_S, MAX_BACKOFF_PART * catch_up_s),
+    )
 
 
 @attrs.frozen
@@ -67,18 +122,28 @@
 
 @attrs.frozen
 class ListPage:
-    """A call that lists the keys of ``prefix`` after the key ``after``."""
+    """A call that lists the keys of ``prefix`` after the key ``after``.
+
+    It has failed if there is no answer after ``timeout_s``.
+    """
 
     prefix: str
     after: str
+    timeout_s: float
 
 
 @attrs.frozen
 class Watch:
-    """A call that watches ``prefix`` for events after ``revision``."""
+    """A call that watches ``prefix`` for events after ``revision``.
+
+    The store answers after ``wait_s`` at the latest; the call has failed if
+    there is no answer after ``timeout_s``.
+    """
 
     prefix: str
     revision: int
+    wait_s: float
+    timeout_s: float
 
 
 @attrs.define
@@ -86,6 +151,7 @@
     """The state of one prefix; ``is_synced`` after the first full listing."""
 
     prefix: str
+    timing: Timing
     revision: int = 0
     is_listing: bool = True
     is_synced: bool = False
@@ -96,9 +162,17 @@
 
     def next_call(self):
         """Return the next call, a `ListPage` or a `Watch`."""
+        timing = self.timing
         if self.is_listing:
-            return ListPage(self.prefix, self.last_listed_key)
-        return Watch(self.prefix, self.revision)
+            return ListPage(
+                self.prefix, self.last_listed_key, timing.list_timeout_s
+            )
+        return Watch(
+            self.prefix,
+            self.revision,
+            timing.watch_wait_s,
+            timing.watch_timeout_s,
+        )
 
     def on_page(self, page):
         """Add a page; return the whole listing after the last page."""
@@ -138,8 +212,8 @@
 
         ``jitter`` is in [0, 1).
         """
-        doubled_s = max(MIN_BACKOFF_S, 2 * self.backoff_s)
-        self.backoff_s = min(MAX_BACKOFF_S, doubled_s)
+        doubled_s = max(self.timing.min_backoff_s, 2 * self.backoff_s)
+        self.backoff_s = min(self.timing.max_backoff_s, doubled_s)
         self.on_history_lost()
         return self.backoff_s * (0.5 + 0.5 * jitter)
 
@@ -149,13 +223,12 @@
         self.listed = []
 
 
-async def follow(mirror, store, on_listing, on_events, rng, wait_s):
+async def follow(mirror, store, on_listing, on_events, rng):
     """Make the calls of ``mirror`` in an endless loop.
 
-    A watch ends after ``wait_s``, which bounds the time until a connection
-    that stalled without being closed is noticed.  ``store`` has
-    ``list_page(prefix, after)`` and ``watch(prefix, revision, wait_s)``,
-    which raise `errors.PlatformUnavailable` and `HistoryLost`.
+    ``store`` has ``list_page(prefix, after, timeout_s)`` and
+    ``watch(prefix, revision, wait_s, timeout_s)``, which raise
+    `errors.PlatformUnavailable` and `HistoryLost`.
     ``on_listing(items)`` receives each whole listing, ``on_events(events)``
     each batch of changes, including empty ones.
     """
@@ -163,7 +236,7 @@
     while True:
         opened_s = time.monotonic()
         try:
-            events = await _step(mirror, store, on_listing, on_events, wait_s)
+            events = await _step(mirror, store, on_listing, on_events)
             if unavailable_since_s is not None:
                 away_s = time.monotonic() - unavailable_since_s
                 logs.event(
@@ -202,18 +275,21 @@
             await curio.sleep(mirror.on_failure(rng.random()))
 
 
-async def _step(mirror, store, on_listing, on_events, wait_s):
+async def _step(mirror, store, on_listing, on_events):
     """Make one call; return the number of events that a watch received."""
     call = mirror.next_call()
     match call:
         case ListPage():
-            listing = mirror.on_page(
-                await store.list_page(call.prefix, call.after)
+            page = await store.list_page(
+                call.prefix, call.after, call.timeout_s
             )
+            listing = mirror.on_page(page)
             if listing is not None:
                 on_listing(listing)
             return 0
         case Watch():
-            changes = await store.watch(call.prefix, call.revision, wait_s)
+            changes = await store.watch(
+                call.prefix, call.revision, call.wait_s, call.timeout_s
+            )
             on_events(mirror.on_changes(changes))
             return len(changes.events)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -117,6 +117,8 @@
         self.compacted_revision = 0
         self.status = 200
         self.answer = None
+        self.is_silent = False
+        self.lost_responses = 0
         self.requested_paths = []
         self.last_lease = 0
         self.tasks = []
@@ -158,6 +160,7 @@
         self.events = []
 
     async def _handle(self, request, responder):
+        await self._lose_if_silent()
         if request.method == 'POST':
             return await self._write(request, responder)
         path, _, query = request.path.partition('?')
@@ -179,6 +182,12 @@
             return await responder.respond(200, page)
         return await self._watch(query, responder)
 
+    async def _lose_if_silent(self):
+        """Return nothing further on this connection if the store is silent."""
+        if self.is_silent:
+            self.lost_responses += 1
+            await curio.sleep(FOREVER_S)
+
     async def _write(self, request, responder):
         self.requested_paths.append(request.path)
         if self.status != 200:
@@ -209,6 +218,7 @@
                 and event['key'].startswith(query['prefix'])
             ]
             if matches or await curio.clock() > end_s:
+                await self._lose_if_silent()
                 reply = {'events': matches, 'storeRevision': self.revision}
                 return await responder.respond(200, reply)
             await curio.sleep(0.01)
@@ -240,7 +250,7 @@
 class Fleet:
     """A store, workers and one front as an async context manager."""
 
-    def __init__(self, *workers, config=None):
+    def __init__(self, *workers, config=None, **settings):
         self.workers = workers
         self.store = Store()
         self.store.put('op/config', config or make_config(2))
@@ -252,7 +262,7 @@
             caller_address=('127.0.0.1', ports.free_port()),
             ready_address=('127.0.0.1', ports.free_port()),
             store_address=f'127.0.0.1:{self.store.port}',
-            grace_s=2.0,
+            **{'grace_s': 2.0, **settings},
         )
         self.front = front.FrontDaemon(self.settings, make_platform())
         self.client = client.Client()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -330,7 +330,7 @@
         for name in ('nodeName', 'zone', 'listen.front', 'bounds.graceS'):
             self.assertIn(name, caught.exception.message)
 
-    def test_watch_timeout_follows_from_the_bounds(self):
+    def test_watch_timeout_follows_from_the_stable_window(self):
         file = {
             'nodeName': 'vm-1',
             'zone': 'a',
@@ -339,7 +339,8 @@
             'platform': {'address': '10.0.0.9:1'},
             'bounds': {'graceS': 8},
         }
-        self.assertAlmostEqual(3.4, settings.decode(file).watch_wait_s)
+        timing = settings.decode(file).mirror_timing
+        self.assertLess(timing.watch_timeout_s + timing.min_backoff_s, 3.0)
         self.assertIsNone(settings.decode(file).peer_address)
         file['bounds'] |= {
             'stableWindowMs': 4000,
@@ -348,7 +349,9 @@
         }
         file['internalPorts'] = [7660, 7675]
         found = settings.decode(file)
-        self.assertAlmostEqual(5.4, found.watch_wait_s)
+        timing = found.mirror_timing
+        self.assertLess(timing.watch_timeout_s + timing.min_backoff_s, 4.0)
+        self.assertLess(timing.watch_wait_s, timing.watch_timeout_s)
         self.assertEqual(('10.0.0.1', 7660), found.peer_address)
 
     def test_retry_terms_follow_from_the_bounds(self):
