Search each byte of a partial event for its end once

Callers saw: while one server wrote the body of a stream without an end of an event, the VM answered nobody for up to 2 s, and sound requests to other services ended as 503 and 504.

Cause: EventSplitter.feed copied and searched the whole partial event again for each piece of it, which is quadratic up to the limit of 1 MiB. StreamValidator.feed of the product's own interface did the same.

Change: both append to one buffer and search from where the last search ended, less the length of a separator.

Evidence: test_many_streams_with_an_event_without_end, a VM in a process of its own, 24 such streams: a sound request waited 0.67 s on the code before (its target is 0.3 s), and the test passes now. Generated pieces of any size, with every form of the separator, give the same events. feed() of a whole small event takes 4.5 us, 3.8 us before.

--- a/src/mangorock/events.py
+++ b/src/mangorock/events.py
@@ -17,6 +17,7 @@
 import attrs
 
 _END = re.compile(rb'\r?\n\r?\n')
+_LONGEST_END_BYTES = 4
 # Lines that begin with a colon say nothing; servers send them to keep a
 # connection open.
 _COMMENTS = re.compile(rb'(?::[^\n]*(?:\n|\Z)|\r?\n)*')
@@ -39,11 +40,13 @@
 class EventSplitter:
     """Keeps the id of the last complete event and the bytes after it.
 
-    ``event_count`` is the number of complete events so far.
+    ``event_count`` is the number of complete events so far.  The first
+    ``searched_bytes`` of the partial event do not contain its end.
     """
 
     last_id: int | None = None
-    partial_event: bytes = b''
+    partial_event: bytearray = attrs.field(factory=bytearray)
+    searched_bytes: int = 0
     event_count: int = 0
 
     def feed(self, data):
@@ -52,17 +55,21 @@
         Raises `EventOrderError` if an id does not follow the one before, or
         is missing after others: such text may be an error of the server.
         """
-        data = self.partial_event + data
+        pending = self.partial_event
+        pending += data
+        start_offset = max(0, self.searched_bytes - _LONGEST_END_BYTES + 1)
         end_offset = 0
-        if len(data) > MAX_EVENT_BYTES and _END.search(data) is None:
+        for separator in _END.finditer(pending, start_offset):
+            self._check_id(pending[end_offset : separator.start()])
+            end_offset = separator.end()
+        whole = bytes(pending[:end_offset])
+        del pending[:end_offset]
+        self.searched_bytes = len(pending)
+        if len(pending) > MAX_EVENT_BYTES:
             raise EventOrderError(
                 f'an event is longer than {MAX_EVENT_BYTES} bytes'
             )
-        for separator in _END.finditer(data):
-            self._check_id(data[end_offset : separator.start()])
-            end_offset = separator.end()
-        self.partial_event = data[end_offset:]
-        return data[:end_offset]
+        return whole
 
     def _check_id(self, event):
         self.event_count += 1
@@ -82,7 +89,8 @@
 
     def restart(self):
         """Drop a partial event; the next bytes come from another server."""
-        self.partial_event = b''
+        self.partial_event = bytearray()
+        self.searched_bytes = 0
 
     @property
     def is_between_events(self):
--- a/src/mangorock/relay.py
+++ b/src/mangorock/relay.py
@@ -41,11 +41,11 @@
     usage: dict | None = None
     finish_reason: str = ''
     is_complete: bool = False
-    _buffer: bytes = b''
+    _buffer: bytearray = attrs.field(factory=bytearray)
 
     def discard_partial_event(self):
         """Discard the incomplete event of a broken stream."""
-        self._buffer = b''
+        self._buffer = bytearray()
 
     def feed(self, data):
         """Return the new, valid events in ``data``.
@@ -53,17 +53,19 @@
         An incomplete event is buffered until the rest of it arrives.  Raises
         `InvalidStream` if an event is not valid.
         """
-        if self._buffer:
-            data = self._buffer + data
-        end = data.rfind(b'\n\n') + 2
+        # The bytes that were there before have been searched.
+        start = max(0, len(self._buffer) - 1)
+        self._buffer += data
+        end = self._buffer.rfind(b'\n\n', start) + 2
         if end < 2:
             end = 0
-        self._buffer = data[end:]
+        whole = bytes(self._buffer[:end])
+        del self._buffer[:end]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise InvalidStream('an event exceeds the size limit')
         if not end:
             return b''
-        events = data[:end].split(b'\n\n')
+        events = whole.split(b'\n\n')
         events.pop()
         new_events = [event for event in events if self._validate_event(event)]
         if not new_events:
