Let others run while a peer sends without pause

Callers saw: one server that wrote a body in chunks of one byte held the VM for as long as it wrote: no time-out, lease renewal, watch or other request got a turn. A caller whose body of 99 kB, within all limits, came in such chunks had the same effect for more than a second.

Cause: a receive that finds data does not let other tasks run, and the loop that parses what it received does not either. A bound on the bytes of an answer is none on the time that they cost: 64 kB in chunks of one byte are 10,900 chunks.

A connection has a credit of events, which grows with time and with the bytes received; without credit it also pauses after each turn, for a time that grows with the number of such connections, so that they have a bounded part of the time together. Answers of servers, of the store and of other VMs, requests of callers, and datagrams use it. Nothing is cut off for its form: a sound answer or body in small pieces stays whole.

Evidence: tests/test_endless.py, a VM in a process of its own.

--- a/src/mangorock/client.py
+++ b/src/mangorock/client.py
@@ -14,6 +14,7 @@
 import h11
 
 from mangorock import logs
+from mangorock import turns
 
 READ_BYTES = 65536
 # Longest answer that is read whole.  A server in trouble may send bytes
@@ -51,11 +52,12 @@
     was cancelled or timed out may be repeated; nothing is lost by it.
     """
 
-    def __init__(self, address, sock, conn, is_reused):
+    def __init__(self, address, sock, conn, is_reused, turn):
         self.address = address
         self.sock = sock
         self.conn = conn
         self.is_reused = is_reused
+        self.turn = turn
         self.is_send_started = False
         self.needs_data = False
         self.status = 0
@@ -130,7 +132,10 @@
 
     async def _next_event(self):
         while True:
+            if self.turn.is_over:
+                await self.turn.end()
             event = self.conn.next_event()
+            self.turn.count()
             if event is not h11.NEED_DATA:
                 return event
             self.conn.receive_data(await self.sock.recv(READ_BYTES))
@@ -138,22 +143,28 @@
     async def read_some(self):
         """Return the body bytes available, or ``b''`` at the end.
 
-        Waits until at least one byte is available.  If the connection is
-        closed before the end of the message, `h11.ProtocolError` or
-        `OSError` is raised.
+        Waits until at least one byte is available, and returns at the end of
+        a turn what there is.  If the connection is closed before the end of
+        the message, `h11.ProtocolError` or `OSError` is raised.
         """
-        conn, parts = self.conn, []
+        conn, turn, parts = self.conn, self.turn, []
         while not self.is_body_complete:
+            if turn.is_over:
+                if parts:
+                    return b''.join(parts)
+                await turn.end()
             if self.needs_data:
                 conn.receive_data(await self.sock.recv(READ_BYTES))
                 self.needs_data = False
             event = conn.next_event()
+            turn.count()
             if event is h11.NEED_DATA:
                 # Saves the next call another `next_event` call.
                 self.needs_data = True
                 if parts:
                     return b''.join(parts)
             elif isinstance(event, h11.Data):
+                turn.add_credit(len(event.data))
                 parts.append(event.data)
             elif not isinstance(event, h11.EndOfMessage):
                 raise ConnectionResetError(
@@ -215,9 +226,15 @@
     that late bytes of its response cannot reach another request.
     """
 
-    def __init__(self, connect_timeout_s=2.0, send_timeout_s=None):
+    def __init__(
+        self,
+        connect_timeout_s=2.0,
+        send_timeout_s=None,
+        shared_turns=None,
+    ):
         self.connect_timeout_s = connect_timeout_s
         self.send_timeout_s = send_timeout_s
+        self.turns = shared_turns or turns.Turns()
         self.idle_connections = collections.defaultdict(collections.deque)
         self.opened_count = 0
 
@@ -238,12 +255,16 @@
             connections.pop()
             if now < expires_s and is_connection_idle(sock):
                 conn.start_next_cycle()
-                return Exchange(address, sock, conn, True)
+                return self._make_exchange(address, sock, conn, True)
             await sock.close()
         sock = await self._connect(address)
         self.opened_count += 1
         conn = h11.Connection(h11.CLIENT)
-        return Exchange(address, sock, conn, False)
+        return self._make_exchange(address, sock, conn, False)
+
+    def _make_exchange(self, address, sock, conn, is_reused):
+        turn = turns.Turn(self.turns)
+        return Exchange(address, sock, conn, is_reused, turn)
 
     async def _connect(self, address):
         # Addresses are IP:port, which avoids DNS lookups: each would need a
--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -30,6 +30,7 @@
 from mangorock import messages
 from mangorock import registry
 from mangorock import replies
+from mangorock import turns
 
 # Ten round trips between failure domains, and less than the prefill of a
 # prompt.
@@ -312,7 +313,11 @@
             logs.debug('datagram_not_sent', to=address[0], error=repr(exc))
 
     async def _receive(self):
+        turn = turns.Turn(turns.Turns())
         while True:
+            if turn.is_over:
+                await turn.end()
+            turn.count()
             try:
                 data, sender = await self.sock.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError as exc:
@@ -320,6 +325,7 @@
                 # socket.
                 logs.debug('datagram_refused', error=repr(exc))
                 continue
+            turn.add_credit(len(data))
             try:
                 number, message = decode(data)
             except ValueError as exc:
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -28,6 +28,7 @@
 from mangorock import presence
 from mangorock import signals
 from mangorock import staging
+from mangorock import turns
 from mangorock import wakeup
 
 CONNECT_TIMEOUT_S = 0.5  # A hundred round trips between failure domains.
@@ -61,7 +62,12 @@
         self.platform = platform
         self.rng = random.Random()
         self.metrics = exposition.make_prometheus_metrics()
-        self.client = clients.Client(CONNECT_TIMEOUT_S, SEND_TIMEOUT_S)
+        shared_turns = turns.Turns()
+        self.client = clients.Client(
+            CONNECT_TIMEOUT_S,
+            SEND_TIMEOUT_S,
+            shared_turns,
+        )
         self.gateway = gateways.Gateway(
             platform.wire,
             settings.failure_domain,
@@ -74,6 +80,7 @@
             self.gateway.handle,
             lambda: self.gateway.catalog.limits,
             platform.wire.encode_refusal,
+            shared_turns,
         )
         self.config_mirror = mirror.Mirror(
             platform.config_prefix, settings.mirror_timing
--- a/src/mangorock/http.py
+++ b/src/mangorock/http.py
@@ -15,6 +15,7 @@
 
 from mangorock import errors
 from mangorock import logs
+from mangorock import turns
 
 READ_BYTES = 65536
 MAX_HEAD_BYTES = 16384
@@ -93,16 +94,21 @@
         self.is_broken = False
 
 
-async def _read_request(sock, conn, max_body_bytes):
+async def _read_request(sock, conn, max_body_bytes, shared_turns):
     """Return the next `Request`, or ``None`` if the connection closed."""
     head = None
     body = bytearray()
+    turn = turns.Turn(shared_turns)
     while True:
+        if turn.is_over:
+            await turn.end()
         event = conn.next_event()
+        turn.count()
         match event:
             case h11.Request():
                 head = event
             case h11.Data():
+                turn.add_credit(len(event.data))
                 body += event.data
                 if len(body) > max_body_bytes:
                     raise errors.TooLarge(
@@ -149,14 +155,16 @@
     await responder.respond(error.status, errors.error_body(error), extra)
 
 
-async def _serve_connection(sock, handler, max_body_bytes):
+async def _serve_connection(sock, handler, max_body_bytes, shared_turns):
     conn = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
     responder = Responder(sock, conn)
     async with sock:
         try:
             while True:
                 responder = Responder(sock, conn)
-                request = await _read_request(sock, conn, max_body_bytes)
+                request = await _read_request(
+                    sock, conn, max_body_bytes, shared_turns
+                )
                 if request is None:
                     return
                 await handler(request, responder)
@@ -205,6 +213,7 @@
     connection has a daemonic task, which ends with the process: shutdown
     waits for the last request before that.
     """
+    shared_turns = turns.Turns()
     async with sock:
         while True:
             try:
@@ -220,5 +229,6 @@
                 connection,
                 handler,
                 max_body_bytes,
+                shared_turns,
                 daemon=True,
             )
--- a/src/mangorock/ingress.py
+++ b/src/mangorock/ingress.py
@@ -20,6 +20,7 @@
 from mangorock import client
 from mangorock import errors
 from mangorock import logs
+from mangorock import turns
 
 # Closes a connection with a reset, so that a truncated answer cannot look
 # complete.
@@ -144,13 +145,15 @@
     ``handler(request, reply)`` is called for each `RawRequest`;
     ``get_limits()`` returns the `catalog.CallerLimits` in force;
     ``encode_refusal(error)`` returns (status, headers, body) for a request
-    that cannot be read.
+    that cannot be read.  ``shared_turns`` are the `turns.Turns` of the
+    process.
     """
 
-    def __init__(self, handler, get_limits, encode_refusal):
+    def __init__(self, handler, get_limits, encode_refusal, shared_turns=None):
         self.handler = handler
         self.get_limits = get_limits
         self.encode_refusal = encode_refusal
+        self.turns = shared_turns or turns.Turns()
         self.is_stopping = False
         self.in_flight = 0
         self.connections = {}
@@ -270,13 +273,18 @@
         change while the connection is open.
         """
         head, body = None, bytearray()
+        turn = turns.Turn(self.turns)
         while True:
+            if turn.is_over:
+                await turn.end()
             event = conn.next_event()
+            turn.count()
             match event:
                 case h11.Request():
                     head = event
                     check_framing(head)
                 case h11.Data():
+                    turn.add_credit(len(event.data))
                     body += event.data
                     check_body_size(body, self.get_limits().max_body_bytes)
                 case h11.EndOfMessage():
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -1,4 +1,4 @@
-"""Tests of peers that send without end.
+"""Tests of peers that send without end, or in the smallest pieces.
 
 The VM is a process of its own, so that the clock of this one shows for how
 long it answers nobody else.
@@ -15,6 +15,7 @@
 from hypothesis import strategies
 
 from mangorock import events
+from mangorock import turns
 from tests import fleet
 from tests import ports
 from tests import process
@@ -26,6 +27,8 @@
 MANY = 24
 ENDLESS_S = 1.4
 CHUNKED = b'Transfer-Encoding: chunked'
+LONG = b'Content-Length: 100000000000'
+ONE_BYTE_CHUNKS = b'1\r\nx\r\n' * 8192
 LONG_CHUNK = b'10000\r\n' + b'x' * 65536 + b'\r\n'
 
 
@@ -139,14 +142,77 @@
         self.assertEqual({200}, set(observed.statuses))
         self.assertLess(observed.longest_s, TARGET_S)
 
+    def test_one_stream_in_chunks_of_one_byte(self):
+        # Guards against a loop that parses as long as bytes are there.
+        self._check('/read/', 'llm', 1, CHUNKED, ONE_BYTE_CHUNKS)
+
+    def test_many_streams_in_chunks_of_one_byte(self):
+        self._check('/read/', 'llm', MANY, CHUNKED, ONE_BYTE_CHUNKS)
+
+    def test_one_plain_answer_in_chunks_of_one_byte(self):
+        self._check('/fetch/', 'annex', 1, CHUNKED, ONE_BYTE_CHUNKS)
+
+    def test_many_plain_answers_in_chunks_of_one_byte(self):
+        self._check('/fetch/', 'annex', MANY, CHUNKED, ONE_BYTE_CHUNKS)
+
     def test_many_streams_with_an_event_without_end(self):
         # Guards against a search of the whole event for each piece of it.
         self._check('/read/', 'llm', MANY, CHUNKED, LONG_CHUNK)
 
+    def test_many_plain_answers_without_end(self):
+        self._check('/fetch/', 'annex', MANY, LONG, b'x' * 65536)
+
+
+class SmallPieces(unittest.TestCase):
+    """A caller within all limits that sends its body byte by byte."""
+
+    def test_body_in_chunks_of_one_byte_is_served_and_delays_nobody(self):
+        async def main():
+            with tempfile.TemporaryDirectory() as folder:
+                async with process.Cluster(folder, make_config()) as cluster:
+                    sending = await curio.spawn(
+                        curio.run_in_thread, send_in_small_chunks, cluster.vm
+                    )
+                    observed = await observe(cluster, ENDLESS_S)
+                    return observed, await sending.join()
+
+        observed, answer = curio.run(main)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer)
+        self.assertEqual({200}, set(observed.statuses))
+        self.assertLess(observed.longest_s, TARGET_S)
+
+
+def send_in_small_chunks(vm):
+    """Send an order of 99 kB in chunks of one byte; return the answer."""
+    head = (
+        f'POST /place/ HTTP/1.1\r\nHost: {fleet.HOST}\r\n'
+        'X-Request-Id: small\r\nX-Deadline-Ms: 9000\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n'
+    )
+    with socket.create_connection(vm.address.split(':'), 10.0) as sock:
+        sock.sendall(head.encode() + b'1\r\nx\r\n' * 99_000 + b'0\r\n\r\n')
+        return sock.recv(65536)
+
 
 class SoundAnswers(unittest.TestCase):
     """Answers of sound servers stay whole, however they are cut up."""
 
+    def test_answer_in_chunks_of_one_byte_is_whole(self):
+        body = bytes(range(256)) * 4
+
+        def answer(request):
+            chunks = b''.join(b'1\r\n%c\r\n' % byte for byte in body)
+            head = workers.response_head(request, CHUNKED)
+            return [head, chunks, b'0\r\n\r\n']
+
+        async def main():
+            worker = workers.Worker('w1', 'desk', answer)
+            async with fleet.Fleet(worker) as cluster:
+                return await cluster.request('GET', '/look/')
+
+        exchange, received = curio.run(main)
+        self.assertEqual((200, body), (exchange.status, received))
+
     @hypothesis.settings(max_examples=200, database=None, deadline=None)
     @hypothesis.given(
         strategies.lists(strategies.integers(1, 9), min_size=1),
@@ -164,5 +230,41 @@
         self.assertEqual(8, splitter.last_id)
 
 
+class Bounds(unittest.TestCase):
+    """The state machine that bounds the time of connections."""
+
+    def test_connections_without_credit_share_a_bounded_part_of_the_time(self):
+        async def main(count):
+            shared = turns.Turns()
+            ended = []
+
+            async def run():
+                turn = turns.Turn(shared, credit=0.0)
+                while True:
+                    turn.count()
+                    if turn.is_over:
+                        await turn.end()
+                        ended.append(turn)
+
+            tasks = [await curio.spawn(run, daemon=True) for _ in range(count)]
+            await curio.sleep(0.3)
+            for task in tasks:
+                await task.cancel()
+            return len(ended)
+
+        # A pause for each of them bounds the turns of all in 0.3 s.
+        for count in (1, MANY):
+            self.assertLessEqual(
+                curio.run(main, count), 0.3 / turns.PAUSE_S + count
+            )
+
+    def test_large_pieces_cost_no_credit(self):
+        turn = turns.Turn(turns.Turns())
+        for _ in range(10 * turns.MAX_CREDIT_EVENTS):
+            turn.count()
+            turn.add_credit(turns.BYTES_PER_EVENT)
+        self.assertEqual(turns.MAX_CREDIT_EVENTS, turn.credit)
+
+
 if __name__ == '__main__':
     unittest.main()
