Bound the memory of all answers that are read at once

What operators of a similar system saw: a machine kept what a faulty server sent without end, ran out of memory, and the requests of other clients ended with it.

Cause here: an answer was bounded at 16 MiB, and nothing bounded the sum. 24 requests are 384 MB, more than the 160 MB of the smallest VM.

Change: buffers.Buffers knows the size of each answer that is being read whole and cuts the longest one off, with a log line, when the sum exceeds a fifth of the memory that the settings allow the process.

--- a/src/mangorock/bounds.py
+++ b/src/mangorock/bounds.py
@@ -5,6 +5,10 @@
 from mangorock import budget
 from mangorock import mirror
 
+# Part of the memory that answers which are read whole may take together.  It
+# is needed twice, as a complete one is copied.
+ANSWERS_MEMORY_PART = 0.2
+DEFAULT_MEMORY_BYTES = 256_000_000
 # Bound on the retries of all VMs where the platform states none.
 DEFAULT_RETRY_TERMS = budget.Terms(ratio=0.1, window_s=10.0, slack=0.0)
 
@@ -40,8 +44,14 @@
     drain_s: float = 2.0
     order_spacing_s: float = 3.0
     retry_terms: budget.Terms = DEFAULT_RETRY_TERMS
+    memory_bytes: float = DEFAULT_MEMORY_BYTES
 
     @property
     def mirror_timing(self):
         """Return the `mirror.Timing` of what is read from the store."""
         return mirror.make_timing(self.stable_s)
+
+    @property
+    def max_held_bytes(self):
+        """Return the most that answers which are read whole may take."""
+        return int(ANSWERS_MEMORY_PART * self.memory_bytes)
--- a/src/mangorock/client.py
+++ b/src/mangorock/client.py
@@ -13,6 +13,7 @@
 import curio.socket
 import h11
 
+from mangorock import buffers
 from mangorock import logs
 from mangorock import turns
 
@@ -52,12 +53,14 @@
     was cancelled or timed out may be repeated; nothing is lost by it.
     """
 
-    def __init__(self, address, sock, conn, is_reused, turn):
+    def __init__(self, address, sock, conn, is_reused, turn, held):
         self.address = address
         self.sock = sock
         self.conn = conn
         self.is_reused = is_reused
         self.turn = turn
+        self.held = held
+        self.is_cut = False
         self.is_send_started = False
         self.needs_data = False
         self.status = 0
@@ -183,17 +186,29 @@
     async def read(self):
         """Return the whole body.
 
-        Raises `AnswerTooLongError` beyond `MAX_ANSWER_BYTES`.
+        Raises `AnswerTooLongError` beyond `MAX_ANSWER_BYTES`, and if all
+        answers that are being read take too much memory.
         """
         while not self.is_body_complete:
-            self.body += await self.read_some()
-            if len(self.body) > MAX_ANSWER_BYTES:
+            data = await self.read_some()
+            self.body += data
+            self.held.add(self, len(data))
+            if self.is_cut or len(self.body) > MAX_ANSWER_BYTES:
                 raise AnswerTooLongError(
-                    f'{self.address} sent more than {MAX_ANSWER_BYTES} bytes'
+                    f'{self.address} sent more than {MAX_ANSWER_BYTES} bytes, '
+                    'or the most of all answers that took too much memory; '
+                    'check the server'
                 )
         body, self.body = bytes(self.body), bytearray()
+        self.held.remove(self)
         return body
 
+    def cut(self):
+        """Drop the body and end the answer; a pending read fails."""
+        self.is_cut = True
+        self.body = bytearray()
+        self.abort()
+
     @property
     def is_body_complete(self):
         """Whether the whole body was read."""
@@ -231,10 +246,12 @@
         connect_timeout_s=2.0,
         send_timeout_s=None,
         shared_turns=None,
+        max_held_bytes=buffers.DEFAULT_MAX_BYTES,
     ):
         self.connect_timeout_s = connect_timeout_s
         self.send_timeout_s = send_timeout_s
         self.turns = shared_turns or turns.Turns()
+        self.held = buffers.Buffers(max_held_bytes)
         self.idle_connections = collections.defaultdict(collections.deque)
         self.opened_count = 0
 
@@ -264,7 +281,7 @@
 
     def _make_exchange(self, address, sock, conn, is_reused):
         turn = turns.Turn(self.turns)
-        return Exchange(address, sock, conn, is_reused, turn)
+        return Exchange(address, sock, conn, is_reused, turn, self.held)
 
     async def _connect(self, address):
         # Addresses are IP:port, which avoids DNS lookups: each would need a
@@ -285,6 +302,7 @@
 
     async def release(self, exchange):
         """Pool the connection if it is reusable, otherwise close it."""
+        self.held.remove(exchange)
         connections = self.idle_connections[exchange.address]
         idle_timeout_s = exchange.idle_timeout_s()
         if (
@@ -301,6 +319,7 @@
 
     async def discard(self, exchange):
         """Close the connection of an exchange."""
+        self.held.remove(exchange)
         if exchange.write_task is not None:
             await exchange.write_task.cancel()
         await exchange.sock.close()
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -67,6 +67,7 @@
             CONNECT_TIMEOUT_S,
             SEND_TIMEOUT_S,
             shared_turns,
+            settings.max_held_bytes,
         )
         self.gateway = gateways.Gateway(
             platform.wire,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -147,7 +147,7 @@
             'region': 'r',
             'listen': {'front': self.address, 'ready': f'{self.ip}:8140'},
             'internalPorts': [7660, 7675],
-            'limits': {'cpuShare': 1.0, 'cores': 1},
+            'limits': {'cpuShare': 1.0, 'cores': 1, 'memoryMb': 160},
             'bounds': {
                 'graceS': self.grace_s,
                 'retryBudgetRatio': arrivals.RATIO,
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -4,9 +4,11 @@
 long it answers nobody else.
 """
 
+import pathlib
 import socket
 import tempfile
 import threading
+import time
 import unittest
 
 import attrs
@@ -14,6 +16,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from mangorock import buffers
 from mangorock import events
 from mangorock import turns
 from tests import fleet
@@ -24,8 +27,11 @@
 
 #: What a sound request may take, the target latency of its route.
 TARGET_S = fleet.make_config(2)['routes'][0]['targetLatencyMs'] / 1000
+MEMORY_BYTES = 160_000_000
 MANY = 24
 ENDLESS_S = 1.4
+#: Lets the answers of several connections grow at the same time.
+SHORT_PAUSE_S = 0.002
 CHUNKED = b'Transfer-Encoding: chunked'
 LONG = b'Content-Length: 100000000000'
 ONE_BYTE_CHUNKS = b'1\r\nx\r\n' * 8192
@@ -35,12 +41,13 @@
 class EndlessWorker(workers.Worker):
     """A worker that answers with ``header`` and then ``piece`` for ever.
 
-    It writes in threads of its own, as fast as the VM reads.
+    It writes in threads of its own, as fast as the VM reads, or with a pause
+    of ``pause_s`` after each piece.
     """
 
-    def __init__(self, name, service, header, piece):
+    def __init__(self, name, service, header, piece, pause_s=0.0):
         super().__init__(name, service)
-        self.header, self.piece = header, piece
+        self.header, self.piece, self.pause_s = header, piece, pause_s
         self.listener = None
 
     async def start(self):
@@ -78,6 +85,7 @@
                 sock.sendall(workers.response_head(request, self.header))
                 while True:
                     sock.sendall(self.piece)
+                    time.sleep(self.pause_s)
             except OSError:
                 # The VM closed the connection.
                 return
@@ -100,10 +108,11 @@
 
 @attrs.define
 class Observed:
-    """What callers of a sound service saw."""
+    """What callers of a sound service saw, and the memory of the VM."""
 
     statuses: list = attrs.field(factory=list)
     longest_s: float = 0.0
+    peak_bytes: int = 0
 
 
 async def observe(cluster, seconds):
@@ -116,11 +125,15 @@
         took_s = soak_world.now() - sent_s
         observed.longest_s = max(observed.longest_s, took_s)
         await curio.sleep(0.005)
+    status = pathlib.Path(f'/proc/{cluster.vm.process.pid}/status')
+    for line in status.read_text().splitlines():
+        if line.startswith('VmHWM:'):
+            observed.peak_bytes = int(line.split()[1]) * 1024
     return observed
 
 
 class EndlessAnswers(unittest.TestCase):
-    """Servers that send without end delay nobody else."""
+    """Servers that send without end delay nobody else and fill no memory."""
 
     async def _observe(self, path, service, count, *answer):
         endless = EndlessWorker('w1', service, *answer)
@@ -141,6 +154,7 @@
         observed = curio.run(self._observe, path, service, count, *answer)
         self.assertEqual({200}, set(observed.statuses))
         self.assertLess(observed.longest_s, TARGET_S)
+        self.assertLess(observed.peak_bytes, MEMORY_BYTES)
 
     def test_one_stream_in_chunks_of_one_byte(self):
         # Guards against a loop that parses as long as bytes are there.
@@ -162,6 +176,12 @@
     def test_many_plain_answers_without_end(self):
         self._check('/fetch/', 'annex', MANY, LONG, b'x' * 65536)
 
+    def test_many_plain_answers_that_grow_side_by_side(self):
+        # Guards against a sum of answers that nothing bounds.
+        self._check(
+            '/fetch/', 'annex', MANY, LONG, b'x' * 65536, SHORT_PAUSE_S
+        )
+
 
 class SmallPieces(unittest.TestCase):
     """A caller within all limits that sends its body byte by byte."""
@@ -230,8 +250,33 @@
         self.assertEqual(8, splitter.last_id)
 
 
+@attrs.define(eq=False)
+class FakeExchange:
+    """An answer that is being read."""
+
+    address: str
+    is_cut: bool = False
+
+    def cut(self):
+        """Record that the answer was cut off."""
+        self.is_cut = True
+
+
 class Bounds(unittest.TestCase):
-    """The state machine that bounds the time of connections."""
+    """The state machines that bound memory and time."""
+
+    def test_longest_answer_is_cut_off_when_the_sum_is_too_large(self):
+        held = buffers.Buffers(max_bytes=1000)
+        short, long = FakeExchange('short'), FakeExchange('long')
+        held.add(short, 100)
+        held.add(long, 800)
+        self.assertFalse(long.is_cut)
+        held.add(short, 200)
+        self.assertEqual((True, False), (long.is_cut, short.is_cut))
+        self.assertEqual(300, held.total_bytes)
+        held.remove(short)
+        held.remove(long)
+        self.assertEqual(0, held.total_bytes)
 
     def test_connections_without_credit_share_a_bounded_part_of_the_time(self):
         async def main(count):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -354,6 +354,21 @@
         self.assertLess(timing.watch_wait_s, timing.watch_timeout_s)
         self.assertEqual(('10.0.0.1', 7660), found.peer_address)
 
+    def test_memory_of_answers_follows_from_the_limit(self):
+        file = {
+            'nodeName': 'vm-1',
+            'zone': 'a',
+            'ip': '10.0.0.1',
+            'listen': {'front': '10.0.0.1:80', 'ready': '10.0.0.1:81'},
+            'platform': {'address': '10.0.0.9:1'},
+            'bounds': {'graceS': 8},
+            'limits': {'memoryMb': 160},
+        }
+        self.assertEqual(32_000_000, settings.decode(file).max_held_bytes)
+        file['limits']['memoryMb'] = 'much'
+        with self.assertRaises(errors.SettingsError):
+            settings.decode(file)
+
     def test_retry_terms_follow_from_the_bounds(self):
         file = {
             'nodeName': 'vm-1',
