Answer what is open when the grace period of a stop ends

Callers saw: a closed connection and no answer, 300 of 300 orders that were at work when the grace period ended (a VM in a process of its own, grace 3 s, a server that answers after 5 s). A grace period that was shortened beside a SIGTERM was not kept, so that the process would be killed.

Cause: after the grace period the process ended with the connections that were left. The check at the arrival of a request holds from SIGTERM on only, and the end was computed once from the settings in memory.

Change: at the end of the period less its margin each request without an answer gets one from its handler: 503 if it was not sent, 504 if it may have run. The requests are all cancelled before any runs, so that none takes the place of another at a server. The settings file is read again at SIGTERM, and a shorter grace period holds at once.

--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -90,6 +90,7 @@
             platform.servers_prefix, settings.mirror_timing
         )
         self.is_stopping = False
+        self.stopping_since_s = 0.0
         self.was_ready = False
         self.store = None
         self.directory = None
@@ -274,6 +275,8 @@
             store_address=newer.store_address,
             grace_s=newer.grace_s,
         )
+        if self.is_stopping:
+            self._limit_stop()
 
     async def watch_settings(self, load_settings, hangup):
         """Reload at each ``hangup`` event and at a fixed interval, forever."""
@@ -315,28 +318,45 @@
         connections to stopping VMs too.  Returns whether all requests were
         served.
         """
-        started_s = time.monotonic()
+        self.stopping_since_s = time.monotonic()
         self.is_stopping = self.ingress.is_stopping = True
         logs.event('stopping', in_flight=self.ingress.in_flight)
-        end_s = started_s + self.settings.grace_s - STOP_MARGIN_S
-        self.gateway.stops_at_s = end_s
-        await curio.sleep(min(CLOSE_IDLE_AFTER_S, end_s - started_s))
-        await self._end_connections(end_s)
+        self._limit_stop()
+        close_idle_at_s = self.stopping_since_s + CLOSE_IDLE_AFTER_S
+        while time.monotonic() < min(close_idle_at_s, self.gateway.stops_at_s):
+            await curio.sleep(STOP_CHECK_INTERVAL_S)
+        await self._end_connections()
         return not self.ingress.in_flight
 
-    async def _end_connections(self, end_s):
-        """Wait until no connection is left, at most until ``end_s``.
+    def _limit_stop(self):
+        """End the stop within the grace period of the settings.
+
+        A period that becomes longer meanwhile changes nothing, as the
+        platform may have begun to count the earlier one.
+        """
+        grace_s = self.settings.grace_s - STOP_MARGIN_S
+        end_s = self.stopping_since_s + grace_s
+        known_s = self.gateway.stops_at_s
+        self.gateway.stops_at_s = min(end_s, known_s or end_s)
+
+    async def _end_connections(self):
+        """Wait until no connection is left, at most until the stop ends.
 
         The last check follows the end of the listening socket, so that no
-        request can come after it.
+        request can come after it.  Requests that are still open then are
+        answered: what was not sent has not run.
         """
+        has_ended_requests = False
         while True:
-            is_over = time.monotonic() >= end_s
+            is_over = time.monotonic() >= self.gateway.stops_at_s
             if is_over or not self.ingress.connections:
                 await self.ingress.close()
             if not self.ingress.connections:
                 return
-            if time.monotonic() >= end_s + LAST_ANSWERS_S:
+            if is_over and not has_ended_requests:
+                has_ended_requests = True
+                await self.ingress.end_requests()
+            if time.monotonic() >= self.gateway.stops_at_s + LAST_ANSWERS_S:
                 logs.warning(
                     'connections_cut', count=len(self.ingress.connections)
                 )
@@ -367,6 +387,8 @@
     await front.start()
     await front.spawn(front.watch_settings, load_settings, hangup)
     await stop.wait()
+    # The platform counts the grace period of the newest settings file.
+    front.reload(load_settings)
     is_clean = await front.stop()
     await front.close()
     logs.event('stopped', is_clean=is_clean)
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -18,6 +18,7 @@
 from mangorock import context as contexts
 from mangorock import errors
 from mangorock import generation
+from mangorock import ingress
 from mangorock import logs
 from mangorock import outliers as outliers_module
 from mangorock import placement
@@ -101,6 +102,10 @@
             end = 'timeout'
             refusal = refusals.deadline_passed(context, self.retry_after_s())
             await self._refuse(reply, refusal)
+        except ingress.StopReached:
+            end = 'stopped'
+            refusal = refusals.stopped(context, STOP_RETRY_AFTER_S)
+            await self._refuse(reply, refusal)
         except curio.errors.CancelledError as exc:
             end = 'caller_gone' if reply.caller_error else 'cancelled'
             error = repr(exc)
--- a/src/mangorock/ingress.py
+++ b/src/mangorock/ingress.py
@@ -32,6 +32,10 @@
 MIN_IDLE_S = 0.2
 
 
+class StopReached(curio.errors.TaskCancelled):
+    """The grace period of a planned stop ends while a request is open."""
+
+
 class ConnectionIdle(OSError):
     """A connection sent nothing for longer than the limits allow."""
 
@@ -123,11 +127,15 @@
 
 @attrs.define
 class Connection:
-    """A caller's connection, and since when it waits for a request."""
+    """A caller's connection, and since when it waits for a request.
+
+    ``reply`` is that of the request that is being handled, or None.
+    """
 
     sock: object
     conn: h11.Connection
     waits_since_s: float
+    reply: Reply | None = None
 
     def is_idle(self, now):
         """Say whether nothing has come for `MIN_IDLE_S`."""
@@ -222,7 +230,7 @@
         sock, conn = connection.sock, connection.conn
         try:
             async with sock:
-                while await self._serve_request(task, sock, conn):
+                while await self._serve_request(task, connection):
                     conn.start_next_cycle()
                     connection.waits_since_s = time.monotonic()
         except OSError as exc:
@@ -233,8 +241,9 @@
         finally:
             del self.connections[task]
 
-    async def _serve_request(self, task, sock, conn):
+    async def _serve_request(self, task, connection):
         """Serve one request; return whether the connection may be reused."""
+        sock, conn = connection.sock, connection.conn
         reply = Reply(sock, conn, lambda: self.is_stopping)
         try:
             request = await self._read_request(sock, conn)
@@ -248,6 +257,7 @@
         if request is None:
             return False
         self.in_flight += 1
+        connection.reply = reply
         watcher = await curio.spawn(
             _watch_caller, sock, task, reply, daemon=True
         )
@@ -255,6 +265,7 @@
             await self.handler(request, reply)
         finally:
             self.in_flight -= 1
+            connection.reply = None
             await watcher.cancel()
         return conn.our_state is h11.DONE and conn.their_state is h11.DONE
 
@@ -350,6 +361,16 @@
             if connection.is_idle(now):
                 await task.cancel(blocking=False)
 
+    async def end_requests(self):
+        """Have the handler answer each open request now.
+
+        It gets `StopReached`.  Answers that have begun go on.
+        """
+        for task, connection in list(self.connections.items()):
+            reply = connection.reply
+            if reply is not None and not reply.is_started:
+                await task.cancel(exc=StopReached, blocking=False)
+
 
 def check_framing(head):
     """Reject a request with two headers that define its length.
--- a/src/mangorock/refusals.py
+++ b/src/mangorock/refusals.py
@@ -92,5 +92,20 @@
     )
 
 
+def stopped(context, retry_after_s):
+    """Return the error for a request that is open when this VM stops."""
+    if not context.may_have_run:
+        return errors.ShuttingDown(
+            'this VM stopped before the request was sent; send it again, the '
+            'load balancer will pick another VM',
+            retry_after_s=retry_after_s,
+        )
+    return errors.DeadlineExceeded(
+        'this VM stopped before the answer was complete; check whether the '
+        'request took effect before repeating it',
+        run=errors.Run.UNKNOWN,
+    )
+
+
 def _if_not_run(context, refusal):
     return backend_broken() if context.may_have_run else refusal
