List the store again when the settings name another address

What callers would see: a configuration or a draining server that was acknowledged after the store's address had changed (SIGHUP) comes into force up to 2.7 s later, where 2 s are allowed: the watch that was open kept waiting at the old address, which nobody answers any more.

Change: a reload that changes the address ends the open calls of both mirrors and lists the prefixes at once, since a revision of what was known need not mean the same to the store at the new address.

--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -95,6 +95,7 @@
         self.store = None
         self.directory = None
         self.tasks = []
+        self.followed = []
 
     @property
     def is_ready(self):
@@ -146,14 +147,17 @@
         )
 
     async def _follow(self, followed, on_listing, on_events):
-        await self.spawn(
-            mirror.follow,
-            followed,
-            self.store,
-            on_listing,
-            on_events,
-            self.rng,
-        )
+        args = followed, self.store, on_listing, on_events, self.rng
+        task = await self.spawn(mirror.follow, *args)
+        self.followed.append((task, args))
+
+    async def _follow_again(self):
+        """List all prefixes now, as open watches wait at another store."""
+        followed, self.followed = self.followed, []
+        for task, (found, _, on_listing, on_events, _) in followed:
+            await task.cancel()
+            found.on_history_lost()
+            await self._follow(found, on_listing, on_events)
 
     async def _start_vm_discovery(self, store):
         """Announce this VM to the others and follow the list of VMs."""
@@ -222,8 +226,10 @@
             )
 
     async def spawn(self, function, *args):
-        """Start a task that `close` cancels."""
-        self.tasks.append(await curio.spawn(function, *args, daemon=True))
+        """Start a task that `close` cancels, and return it."""
+        task = await curio.spawn(function, *args, daemon=True)
+        self.tasks.append(task)
+        return task
 
     def _apply_config(self, events):
         for event in events:
@@ -244,7 +250,7 @@
             if is_newer:
                 self.gateway.catalog = newer
 
-    def reload(self, load_settings):
+    async def reload(self, load_settings):
         """Apply a changed settings file; an invalid one changes nothing.
 
         ``load_settings()`` returns `bounds.FrontSettings` or raises
@@ -269,6 +275,7 @@
             grace_s=newer.grace_s,
             needs_start=needs_start != self.settings,
         )
+        has_moved = newer.store_address != self.settings.store_address
         self.store.address = newer.store_address
         self.settings = attrs.evolve(
             self.settings,
@@ -277,6 +284,8 @@
         )
         if self.is_stopping:
             self._limit_stop()
+        if has_moved:
+            await self._follow_again()
 
     async def watch_settings(self, load_settings, hangup):
         """Reload at each ``hangup`` event and at a fixed interval, forever."""
@@ -285,7 +294,7 @@
                 await hangup.wait()
                 hangup.clear()
                 logs.event('hangup')
-            self.reload(load_settings)
+            await self.reload(load_settings)
 
     async def _prune(self):
         """Drop ended state and idle connections, forever."""
@@ -388,7 +397,7 @@
     await front.spawn(front.watch_settings, load_settings, hangup)
     await stop.wait()
     # The platform counts the grace period of the newest settings file.
-    front.reload(load_settings)
+    await front.reload(load_settings)
     is_clean = await front.stop()
     await front.close()
     logs.event('stopped', is_clean=is_clean)
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -271,5 +271,30 @@
             )
 
 
+class MovedStore(unittest.TestCase):
+    """The settings file names another address of the store."""
+
+    @test_front.run
+    async def test_change_at_the_new_address_is_in_force_in_time(self):
+        # Guards against a watch that waits at the old address.
+        moved = fleet.Store()
+        await moved.start()
+        moved.put('op/config', fleet.make_config(9))
+        async with fleet.Fleet() as cluster:
+            await curio.sleep(0.1)
+            cluster.store.is_silent = True
+            settings = attrs.evolve(
+                cluster.settings, store_address=f'127.0.0.1:{moved.port}'
+            )
+            begun_s = await curio.clock()
+            await cluster.front.reload(lambda: settings)
+            await fleet.wait_until(
+                lambda: cluster.front.gateway.catalog.version == 9, 5.0
+            )
+            took_s = await curio.clock() - begun_s
+        await moved.close()
+        self.assertLess(took_s, cluster.settings.config_s)
+
+
 if __name__ == '__main__':
     unittest.main()
