Derive the delay after events from the bound of a change

What callers would see: where the platform states a bound of 0.8 s or less, a change that was stored just after another one comes into force too late, as the next watch of the store was opened up to 0.8 s after an event whatever the bounds are.

Evidence: with the delay of before as a mutation (test_finds_a_delay_that_outlasts_a_short_bound) the generated cases find a late change; with the change none is found.

--- a/src/mangorock/bounds.py
+++ b/src/mangorock/bounds.py
@@ -49,7 +49,8 @@
     @property
     def mirror_timing(self):
         """Return the `mirror.Timing` of what is read from the store."""
-        return mirror.make_timing(self.stable_s)
+        change_s = min(self.config_s, self.drain_s)
+        return mirror.make_timing(self.stable_s, change_s)
 
     @property
     def max_held_bytes(self):
--- a/src/mangorock/mirror.py
+++ b/src/mangorock/mirror.py
@@ -26,9 +26,10 @@
 from mangorock import logs
 
 # Servers start and stop together, so an event is followed by others.  The next
-# watch is delayed by up to this time and returns them in one answer.  Less
-# than half of the shortest bound on the time until a change takes effect.
-BATCH_DELAY_S = 0.8
+# watch is delayed by up to this time and returns them in one answer.
+MAX_BATCH_DELAY_S = 0.8
+# Less than half of the shortest bound on the time until a change takes effect.
+BATCH_DELAY_PART = 0.4
 # Upper bounds on the times of `Timing`, however long the catch-up may take.
 MAX_CATCH_UP_S = 30.0
 LIST_TIMEOUT_S = 1.5  # The store normally responds within milliseconds.
@@ -52,7 +53,8 @@
     The store ends a watch without events after ``watch_wait_s``; it is
     considered lost after ``watch_timeout_s``, and a page of a listing after
     ``list_timeout_s``.  The pauses after failures grow from
-    ``min_backoff_s`` to ``max_backoff_s``.
+    ``min_backoff_s`` to ``max_backoff_s``.  After an event the next watch
+    is delayed by up to ``batch_delay_s``.
     """
 
     watch_wait_s: float
@@ -60,17 +62,19 @@
     list_timeout_s: float
     min_backoff_s: float
     max_backoff_s: float
+    batch_delay_s: float
 
 
-def make_timing(stable_s):
+def make_timing(stable_s, change_s):
     """Return the `Timing` of a mirror that catches up within ``stable_s``.
 
     From ``stable_s`` seconds after the end of a silence of the store on, it
-    has all changes that were made before that end.
+    has all changes that were made before that end; otherwise it has a change
+    ``change_s`` seconds after it was made.
 
     Example::
 
-        make_timing(stable_s=3.0).watch_timeout_s    # 2.7
+        make_timing(stable_s=3.0, change_s=2.0).watch_timeout_s    # 2.7
     """
     catch_up_s = min(MAX_CATCH_UP_S, stable_s)
     return Timing(
@@ -79,6 +83,7 @@
         min(LIST_TIMEOUT_S, LIST_TIMEOUT_PART * catch_up_s),
         min(MIN_BACKOFF_S, MIN_BACKOFF_PART * catch_up_s),
         min(MAX_BACKOFF_S, MAX_BACKOFF_PART * catch_up_s),
+        min(MAX_BATCH_DELAY_S, BATCH_DELAY_PART * min(stable_s, change_s)),
     )
 
 
@@ -202,6 +207,10 @@
             self.revision = max(self.revision, event.revision)
         return changes.events
 
+    def batch_delay_s(self, jitter):
+        """Return the delay after an event; ``jitter`` is in [0, 1)."""
+        return self.timing.batch_delay_s * (0.5 + 0.5 * jitter)
+
     def on_history_lost(self):
         """Start a new listing, as events may have been missed."""
         self._reset_listing()
@@ -247,7 +256,7 @@
                 )
                 unavailable_since_s = None
             if events:
-                await curio.sleep(BATCH_DELAY_S * (0.5 + 0.5 * rng.random()))
+                await curio.sleep(mirror.batch_delay_s(rng.random()))
         except HistoryLost:
             logs.event(
                 'store_history_lost',
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -68,7 +68,7 @@
     """
 
     def __init__(self):
-        self.mirror = mirror.Mirror('k', mirror.make_timing(5.0))
+        self.mirror = mirror.Mirror('k', mirror.make_timing(5.0, 4.0))
         self.store = ModelStore()
         self.received = {}
 
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -78,9 +78,9 @@
         return answered_s, mirror.Changes(events, len(self.changes))
 
 
-def follow(store, stable_s, jitter):
+def follow(store, stable_s, bound_s, jitter):
     """Return (time, known revision of each key) after each call."""
-    timing = mirror.make_timing(stable_s)
+    timing = mirror.make_timing(stable_s, bound_s)
     followed = mirror.Mirror('', timing)
     now, known, history = 0.0, {}, []
     while now < END_S:
@@ -98,7 +98,7 @@
                 for event in events:
                     known[event.key] = event.revision
                 if events:
-                    pause_s = mirror.BATCH_DELAY_S * (0.5 + 0.5 * jitter)
+                    pause_s = followed.batch_delay_s(jitter)
         history.append((now, dict(known)))
         now += pause_s
     return history
@@ -106,7 +106,7 @@
 
 def find_late(store, stable_s, bound_s, jitter):
     """Return the time at which a mirror in touch lacks a change, or None."""
-    history = follow(store, stable_s, jitter)
+    history = follow(store, stable_s, bound_s, jitter)
     position = 0
     for number in range(int(END_S / SAMPLE_S)):
         now = number * SAMPLE_S
@@ -151,7 +151,15 @@
 )
 # The stable window and the bound of a change, in seconds.
 BOUNDS = strategies.sampled_from(
-    ((1.0, 1.0), (3.0, 2.0), (4.0, 3.0), (5.0, 4.0), (10.0, 2.0), (2.0, 10.0))
+    (
+        (1.0, 0.5),
+        (1.0, 1.0),
+        (3.0, 2.0),
+        (4.0, 3.0),
+        (5.0, 4.0),
+        (10.0, 0.5),
+        (2.0, 10.0),
+    )
 )
 JITTER = strategies.sampled_from((0.0, 0.5, 0.999))
 
@@ -199,6 +207,13 @@
         ):
             self.assertIsNotNone(find_failure())
 
+    def test_finds_a_delay_that_outlasts_a_short_bound(self):
+        # Guards against a delay after events that is the same for all bounds.
+        with mock.patch.multiple(
+            mirror, BATCH_DELAY_PART=9.0, MAX_BATCH_DELAY_S=0.8
+        ):
+            self.assertIsNotNone(find_failure())
+
 
 class ChangesBehindASilence(unittest.TestCase):
     """A VM that is in touch again acts on what was stored meanwhile."""
