Notice a lost watch of the tables within the bound of a change

What operators would see: tables that were changed while the response to a daemon's watch was lost come into force up to 26 s later, where 15 s are allowed.

Change: the wait of the watch is what the bound leaves after the time-out of the call, the pause after it and 3 s for the other daemons: 6 s.

Evidence: test_change_behind_a_lost_response_is_read_in_time counts 25.998 s to the next call of the platform before and fails; 12 s are allowed and kept now.

--- a/src/mangorock/watcher.py
+++ b/src/mangorock/watcher.py
@@ -13,11 +13,19 @@
 from mangorock import membership
 from mangorock import peer_pb2
 from mangorock import peers
+from mangorock import platform
 from mangorock import tables
 
 WATCHERS_PER_DOMAIN = 2
-WATCH_WAIT_S = 20.0
+# A change of the tables is in force on all daemons within this time, also if
+# the response to a watch was lost when it was made.
+IN_FORCE_S = 15.0
+# Part of it for reading the tables again and telling the other daemons.
+SPREAD_S = 3.0
 RETRY_S = 2.0
+MAX_RETRY_S = 1.5 * RETRY_S
+# The platform ends a watch without changes after this time.
+WATCH_WAIT_S = IN_FORCE_S - SPREAD_S - MAX_RETRY_S - platform.CALL_TIMEOUT_S
 VMS_INTERVAL_S = 5.0
 STANDBY_INTERVAL_S = 3.0
 
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -13,7 +13,10 @@
 import hypothesis
 from hypothesis import strategies
 
+from mangorock import errors
 from mangorock import mirror
+from mangorock import platform
+from mangorock import watcher
 from tests import fleet
 from tests import test_front
 from tests import workers
@@ -311,5 +314,39 @@
         self.assertLess(took_s, cluster.settings.config_s)
 
 
+class TablesReadAgain(Exception):
+    """The daemon has asked for the tables again."""
+
+
+class LostWatchOfTables(unittest.TestCase):
+    """The product's own daemon: the response to a watch of the tables."""
+
+    def test_change_behind_a_lost_response_is_read_in_time(self):
+        # Guards against a watch that outlasts the bound on a change.
+        passed_s = [0.0]
+
+        async def sleep(seconds):
+            passed_s[0] += seconds
+
+        class LossyPlatform:
+            """Loses the first response; the change is made just before."""
+
+            async def watch(self, key, after, wait_s):
+                if not passed_s[0]:
+                    passed_s[0] += wait_s + platform.CALL_TIMEOUT_S
+                    raise errors.PlatformUnavailable('no response')
+                raise TablesReadAgain()
+
+        env = mock.Mock()
+        env.platform = LossyPlatform()
+        env.tables.revision = 0
+        env.rng.random.return_value = 0.999
+        with mock.patch.object(watcher.curio, 'sleep', sleep):
+            with self.assertRaises(TablesReadAgain):
+                curio.run(watcher.watch_tables, env)
+        # 15 s in all, of which 3 s for the other daemons.
+        self.assertLessEqual(passed_s[0], 15.0 - 3.0)
+
+
 if __name__ == '__main__':
     unittest.main()
