Pause as long as before after a first failure; delay by the bound

Cause: the pause after a first failure had become 30 to 60 ms on the small sites with the division of the stable window. The store cuts its watches some 70 ms before it drops its history (docs/incidents/404-after-dropped-history), and a watch that is opened in between hears nothing. And the calls to the store, which a shorter watch makes more numerous, weigh most on the sites with long bounds.

Change: the first pause is 0.034 of the window, 0.1 s on all sites in force as before. The delay after an event is 0.4 of the bound up to 1.6 s, so that it stays 0.8 s on the small sites, and is 1.2 s and 1.6 s on the grown and the large ones, whose bounds are 3 s and 4 s.

--- a/src/mangorock/mirror.py
+++ b/src/mangorock/mirror.py
@@ -27,7 +27,7 @@
 
 # Servers start and stop together, so an event is followed by others.  The next
 # watch is delayed by up to this time and returns them in one answer.
-MAX_BATCH_DELAY_S = 0.8
+MAX_BATCH_DELAY_S = 1.6
 # Less than half of the shortest bound on the time until a change takes effect.
 BATCH_DELAY_PART = 0.4
 # Upper bounds on the times of `Timing`, however long the catch-up may take.
@@ -40,7 +40,7 @@
 # to list the prefix and to apply the listing.
 WATCH_WAIT_PART = 0.84
 WATCH_TIMEOUT_PART = 0.9
-MIN_BACKOFF_PART = 0.02
+MIN_BACKOFF_PART = 0.034
 # The same holds for a listing that was lost and the longest pause after it.
 LIST_TIMEOUT_PART = 0.5
 MAX_BACKOFF_PART = 0.33
