--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -32,17 +32,40 @@
 class SimulatedStore:
     """A store whose changes and silences are known in advance.
 
-    ``changes`` are (time, key) pairs and ``silences`` (start, end) pairs, in
-    seconds and in order.  A change has the revision of its position, from 1.
+    ``changes`` are (time, key) pairs, ``silences`` and ``freezes`` (start,
+    end) pairs, in seconds and in order.  A change has the revision of its
+    position, from 1.  In a freeze the VM does nothing, and the store answers.
     """
 
     changes: list
     silences: list
+    freezes: list = attrs.field(factory=list)
 
     def is_silent(self, time_s):
         """Say whether the VM gets no response at ``time_s``."""
         return any(start <= time_s < end for start, end in self.silences)
 
+    def is_disturbed(self, start_s, end_s):
+        """Say whether a silence or a freeze meets this time."""
+        return any(
+            start <= end_s and start_s < end
+            for start, end in self.silences + self.freezes
+        )
+
+    def thaw(self, time_s):
+        """Return when the VM does what is due at ``time_s``."""
+        for start, end in self.freezes:
+            if start <= time_s < end:
+                return end
+        return time_s
+
+    def frozen_s(self, start_s, end_s):
+        """Return for how long the VM is frozen between two moments."""
+        return sum(
+            max(0.0, min(end, end_s) - max(start, start_s))
+            for start, end in self.freezes
+        )
+
     def events(self, after, until_s):
         """Return the events after a revision that were made by ``until_s``."""
         return tuple(
@@ -81,14 +104,21 @@
         return answered_s, mirror.Changes(events, len(self.changes))
 
 
-def follow(store, stable_s, bound_s, jitter):
-    """Return (time, known revision of each key) after each call."""
+def follow(store, stable_s, bound_s, jitter, is_clock_stopped):
+    """Return (time, known revision of each key) after each call.
+
+    With ``is_clock_stopped`` the VM's clock stands still in a freeze.
+    """
     timing = mirror.make_timing(stable_s, bound_s)
     followed = mirror.Mirror('', timing)
     now, known, history = 0.0, {}, []
     while now < END_S:
         call = followed.next_call()
+        opened_s = now
         now, response = store.respond(call, now)
+        if is_clock_stopped and response is None:
+            now += store.frozen_s(opened_s, now)
+        now = store.thaw(now)
         pause_s = 0.0
         match response:
             case None:
@@ -103,23 +133,19 @@
                 if events:
                     pause_s = followed.batch_delay_s(jitter)
         history.append((now, dict(known)))
-        now += pause_s
+        now = store.thaw(now + pause_s)
     return history
 
 
-def find_late(store, stable_s, bound_s, jitter):
+def find_late(store, stable_s, bound_s, jitter, is_clock_stopped):
     """Return the time at which a mirror in touch lacks a change, or None."""
-    history = follow(store, stable_s, bound_s, jitter)
+    history = follow(store, stable_s, bound_s, jitter, is_clock_stopped)
     position = 0
     for number in range(int(END_S / SAMPLE_S)):
         now = number * SAMPLE_S
         while position < len(history) and history[position][0] <= now:
             position += 1
-        is_in_touch = now >= stable_s and not any(
-            start <= now and now - stable_s < end
-            for start, end in store.silences
-        )
-        if not is_in_touch:
+        if now < stable_s or store.is_disturbed(now - stable_s, now):
             continue
         known = history[position - 1][1] if position else {}
         for event in store.events(0, now - bound_s):
@@ -138,13 +164,14 @@
 
 
 GAP_MS = strategies.integers(0, 3000)
-#: Gaps before a silence and lengths of it, in turn.
+#: The gap before a silence or freeze, its length, and which of both it is.
 SILENCES = strategies.lists(
     strategies.tuples(
         strategies.integers(1, 6000),
         strategies.one_of(
             strategies.integers(1, 400), strategies.integers(400, 8000)
         ),
+        strategies.sampled_from(('silence', 'silence', 'freeze')),
     ),
     min_size=1,
     max_size=4,
@@ -178,16 +205,20 @@
         deadline=None,
         phases=[hypothesis.Phase.generate],
     )
-    @hypothesis.given(SILENCES, CHANGES, BOUNDS, JITTER)
-    def check(silences, changes, bounds, jitter):
-        ends = sum_up([gap_ms for pair in silences for gap_ms in pair])
+    @hypothesis.given(SILENCES, CHANGES, BOUNDS, JITTER, strategies.booleans())
+    def check(silences, changes, bounds, jitter, is_clock_stopped):
+        ends = sum_up([ms for row in silences for ms in row[:2]])
+        spans = list(zip(ends[::2], ends[1::2]))
+        kinds = [kind for _, _, kind in silences]
         made_s = sum_up([gap_ms for gap_ms, _ in changes])
         store = SimulatedStore(
             list(zip(made_s, [key for _, key in changes])),
-            list(zip(ends[::2], ends[1::2])),
+            [span for span, kind in zip(spans, kinds) if kind == 'silence'],
+            [span for span, kind in zip(spans, kinds) if kind == 'freeze'],
         )
-        if find_late(store, *bounds, jitter) is not None:
-            found.append((store, bounds, jitter))
+        late_s = find_late(store, *bounds, jitter, is_clock_stopped)
+        if late_s is not None:
+            found.append((store, bounds, jitter, is_clock_stopped, late_s))
 
     check()
     return found[0] if found else None
