Reserve the ports of stand-ins; notice a stand-in that has ended

Cause: a port that was free when it was drawn was reserved for nobody, so that two runs, or two processes of one cluster, could draw the same one before either listened. There were two copies of the function with different ranges. A stand-in that had ended was not noticed where another process had its port.

Change: one free_port() reserves each port machine-wide under the name of a socket that ends with its process, and keeps the last 500. The start of a cluster checks that each process runs, before and after its port answers, and the error has its status and its last lines.

--- a/src/mangorock_standins/fleet.py
+++ b/src/mangorock_standins/fleet.py
@@ -10,8 +10,6 @@
 import contextlib
 import copy
 import hashlib
-import itertools
-import os
 import pathlib
 import signal
 import socket
@@ -24,39 +22,14 @@
 import attrs
 import orjson
 
+from mangorock_standins import ports
+
 PEER_KEY = 'peer-key-of-the-demo-fleet'
 OPERATOR_TOKEN = 'operator-token-of-the-demo'
 START_TIMEOUT_S = 30.0
-FIRST_PORT = 12_000
-LAST_PORT = 32_000
 STOP_TIMEOUT_S = 20.0
-
-
-def _candidate_ports():
-    """Yield ports below the ephemeral range.
-
-    An outgoing connection could take a port of the ephemeral range after it
-    was chosen and before a server listens on it.  The first port depends on
-    the process id, so that concurrent fleets try different ports.
-    """
-    size = LAST_PORT - FIRST_PORT
-    start = os.getpid() * 97 % size
-    for number in itertools.count(start):
-        yield FIRST_PORT + number % size
-
-
-_PORTS = _candidate_ports()
-
-
-def free_port():
-    """Return a port of 127.0.0.1 that nothing listens on."""
-    for port in _PORTS:
-        with contextlib.closing(socket.socket()) as sock:
-            try:
-                sock.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-            return port
+# What an error shows of the output of a process that has ended.
+LAST_LINES = 12
 
 
 def http_json(method, address, path, data=None, headers=(), timeout_s=30):
@@ -97,6 +70,17 @@
         if self.popen is not None and self.popen.poll() is None:
             self.popen.send_signal(number)
 
+    def check_running(self):
+        """Raise `RuntimeError` with its last lines if it has ended."""
+        status = self.popen.poll()
+        if status is None:
+            return
+        lines = self.log.read_text(errors='replace').splitlines()
+        raise RuntimeError(
+            f'{self.name} at {self.address} has ended with status {status}; '
+            'its last lines:\n' + '\n'.join(lines[-LAST_LINES:])
+        )
+
     def wait(self):
         """Wait for the process to end and return its exit status.
 
@@ -149,20 +133,20 @@
             'platform', 'mangorock_standins.platform', []
         )
         self._start_servers()
-        self._wait_for_port(self.platform.address)
+        self._wait_for_port(self.platform)
         self.publish_vms()
         for entry in self.config['entry_vms']:
             self.start_daemon(entry['vm'], entry['failure_domain'])
         for server in self.servers.values():
-            self._wait_for_port(server.address)
+            self._wait_for_port(server)
         for daemon in self.daemons.values():
-            self._wait_for_port(daemon.admin_address)
+            self._wait_for_port(daemon.process)
         self.apply_tables(self.tables)
         for daemon in self.daemons.values():
             self.wait_ready(daemon)
 
     def _spawn(self, name, module, args):
-        port = free_port()
+        port = ports.free_port()
         process = Process(
             name,
             [module, '--port', str(port), *args],
@@ -241,7 +225,7 @@
     @staticmethod
     def _peer_address(entry):
         if 'peer_address' not in entry:
-            entry['peer_address'] = f'127.0.0.1:{free_port()}'
+            entry['peer_address'] = f'127.0.0.1:{ports.free_port()}'
         return entry['peer_address']
 
     def start_daemon(self, vm, failure_domain):
@@ -252,10 +236,10 @@
         entry = next(e for e in self.config['entry_vms'] if e['vm'] == vm)
         old = self.daemons.get(vm)
         caller_address = (
-            old.caller_address if old else f'127.0.0.1:{free_port()}'
+            old.caller_address if old else f'127.0.0.1:{ports.free_port()}'
         )
         admin_address = (
-            old.admin_address if old else f'127.0.0.1:{free_port()}'
+            old.admin_address if old else f'127.0.0.1:{ports.free_port()}'
         )
         peer_address = self._peer_address(entry)
         args = [
@@ -316,16 +300,20 @@
         )
 
     @staticmethod
-    def _wait_for_port(address):
+    def _wait_for_port(process):
         deadline = time.monotonic() + START_TIMEOUT_S
-        host, _, port = address.partition(':')
+        host, _, port = process.address.partition(':')
         while time.monotonic() < deadline:
+            process.check_running()
             with contextlib.closing(socket.socket()) as sock:
                 if sock.connect_ex((host, int(port))) == 0:
+                    # Another process may have the port.
+                    process.check_running()
                     return
             time.sleep(0.02)
         raise RuntimeError(
-            f'nothing listens on {address}; see the process log'
+            f'{process.name} does not listen on {process.address} after '
+            f'{START_TIMEOUT_S} s; see {process.log}'
         )
 
     def wait_ready(self, daemon):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -20,7 +20,7 @@
 from mangorock import front
 from mangorock import http
 from mangorock import presence
-from tests import ports
+from mangorock_standins import ports
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / 'platform'))
--- a/tests/test_consultation.py
+++ b/tests/test_consultation.py
@@ -11,7 +11,7 @@
 from mangorock import messages
 from mangorock import mirror
 from mangorock import scheduler
-from tests import ports
+from mangorock_standins import ports
 from tests import test_scheduler
 
 
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -19,8 +19,8 @@
 from mangorock import buffers
 from mangorock import events
 from mangorock import turns
+from mangorock_standins import ports
 from tests import fleet
-from tests import ports
 from tests import process
 from tests import soak_world
 from tests import workers
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -18,8 +18,8 @@
 from mangorock import placement
 from mangorock import quarantine
 from mangorock import traffic
+from mangorock_standins import ports
 from tests import fleet
-from tests import ports
 from tests import workers
 
 #: Part of a response: the worker crashes.
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -11,7 +11,7 @@
 import orjson
 
 from mangorock import signals
-from tests import ports
+from mangorock_standins import ports
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 # Sends the process the given signal when it begins to import a module.
--- a/tests/workers.py
+++ b/tests/workers.py
@@ -5,7 +5,7 @@
 import h11
 
 from mangorock import http
-from tests import ports
+from mangorock_standins import ports
 
 SIGNATURE = b'3e1b.07.5a2.600.0.c9f2a4d1'
 #: Part of a response: the worker closes the connection.
