Delay the next watch after an event by 0.8 s at most, as before

Change: the upper bound is 0.8 s again; the part of the bound of a change, which short bounds need, stays.

The small sites always had 0.8 s.

--- a/src/mangorock/mirror.py
+++ b/src/mangorock/mirror.py
@@ -27,7 +27,7 @@
 
 # Servers start and stop together, so an event is followed by others.  The next
 # watch is delayed by up to this time and returns them in one answer.
-MAX_BATCH_DELAY_S = 1.6
+MAX_BATCH_DELAY_S = 0.8
 # Less than half of the shortest bound on the time until a change takes effect.
 BATCH_DELAY_PART = 0.4
 # Upper bounds on the times of `Timing`, however long the catch-up may take.
