--- a/src/mangorock/turns.py
+++ b/src/mangorock/turns.py
@@ -79,7 +79,7 @@
         if self.credit > 0.0:
             await curio.sleep(0)
             return
-        # Those that pause owe nothing for the time before.
+        # A deficit is not carried over: the pause has paid for it.
         self.credit = 0.0
         self.shared.pausing += 1
         try:
