Identify client accounts; follow the store with one watch

Change: the configuration has accounts; a request needs a valid key, servers get the account's name only. Where revocation is strict, a request is served only if the store confirmed the keys within the bound before it was received, on a clock that counts suspended time. One watch of all keys replaces that of each prefix; a store that does not list all keys is followed as before. Load reports with a fourth figure are no longer dropped.

--- a/src/mangorock/context.py
+++ b/src/mangorock/context.py
@@ -23,7 +23,8 @@
     """The state of one request while it is served.
 
     ``ledger`` has all its sends to servers of ``service``, ``sends`` counts
-    those that did not only prefill the prompt.
+    those that did not only prefill the prompt.  ``account`` is the
+    `catalog.Account` of its key, None if it needs none.
     """
 
     request: object
@@ -32,6 +33,7 @@
     deadline_s: float
     service: str
     ledger: budget.Ledger
+    account: catalog.Account | None = None
     tried: set = attrs.field(factory=set)
     sends: int = 0
     unsent_attempts: int = 0
@@ -43,6 +45,18 @@
     first_event_at_s: float = 0.0
     server_ids: str = ''
 
+    @property
+    def priority(self):
+        """Return the priority, that of the account before the route's."""
+        if self.account is None or self.account.priority is None:
+            return self.route.priority
+        return self.account.priority
+
+    @property
+    def account_name(self):
+        """Return the name of the client account, '' if there is none."""
+        return self.account.name if self.account is not None else ''
+
     def record_outcome(self, outcome, may_have_run_before):
         """Undo what was assumed of an attempt that turns out not to have run.
 
--- a/src/mangorock/discovery.py
+++ b/src/mangorock/discovery.py
@@ -12,11 +12,9 @@
 class Discovery:
     """Applies what `mirror.follow` reads to a `registry.Registry`.
 
-    ``followed`` is the `mirror.Mirror`, ``platform`` is as for
-    `front.FrontDaemon`.
+    ``platform`` is as for `front.FrontDaemon`.
     """
 
-    followed: mirror.Mirror
     registry: object
     platform: object
 
@@ -29,7 +27,7 @@
         logs.event(
             'servers_listed',
             servers=len(self.registry.servers),
-            revision=self.followed.revision,
+            revision=max((item.revision for item in items), default=0),
         )
 
     def on_events(self, events):
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -29,6 +29,7 @@
 from mangorock import shutdown
 from mangorock import signals
 from mangorock import staging
+from mangorock import subscription
 from mangorock import turns
 from mangorock import wakeup
 
@@ -77,18 +78,13 @@
             shared_turns,
         )
         self.shutdown = shutdown.Shutdown(self.ingress, self.gateway)
-        self.config_mirror = mirror.Mirror(
-            platform.config_prefix, settings.mirror_timing
-        )
-        self.servers_mirror = mirror.Mirror(
-            platform.servers_prefix, settings.mirror_timing
-        )
+        self.gateway.keys.bound_s = settings.revocation_s
         self.is_stopping = False
         self.was_ready = False
         self.store = None
         self.directory = None
         self.tasks = []
-        self.followed = []
+        self.subscription = None
 
     @property
     def is_ready(self):
@@ -96,7 +92,8 @@
         return (
             not self.is_stopping
             and bool(self.gateway.catalog.version)
-            and self.servers_mirror.is_synced
+            and self.subscription is not None
+            and self.subscription.is_synced
         )
 
     async def start(self):
@@ -118,15 +115,25 @@
             )
         store = self.platform.make_store(settings.store_address, self.client)
         self.store = store
-        await self._follow(
-            self.config_mirror, self._apply_config, self._apply_config
-        )
-        servers = discovery.Discovery(
-            self.servers_mirror, self.gateway.registry, self.platform
-        )
-        await self._follow(
-            self.servers_mirror, servers.on_listing, servers.on_events
+        servers = discovery.Discovery(self.gateway.registry, self.platform)
+        config_prefix = self.platform.config_prefix
+        self.subscription = subscription.Subscription(
+            store,
+            settings.mirror_timing,
+            self.rng,
+            [
+                subscription.Consumer(
+                    config_prefix, self._apply_config, self._apply_config
+                ),
+                subscription.Consumer(
+                    self.platform.servers_prefix,
+                    servers.on_listing,
+                    servers.on_events,
+                ),
+            ],
+            self.gateway.keys.on_confirmed,
         )
+        await self.subscription.start()
         isolated = isolation.Isolation(self.gateway, store)
         self.gateway.isolation = isolated
         await self.spawn(isolated.follow)
@@ -139,19 +146,6 @@
             failure_domain=settings.failure_domain,
         )
 
-    async def _follow(self, followed, on_listing, on_events):
-        args = followed, self.store, on_listing, on_events, self.rng
-        task = await self.spawn(mirror.follow, *args)
-        self.followed.append((task, args))
-
-    async def _follow_again(self):
-        """List all prefixes now, as open watches wait at another store."""
-        followed, self.followed = self.followed, []
-        for task, (found, _, on_listing, on_events, _) in followed:
-            await task.cancel()
-            found.on_history_lost()
-            await self._follow(found, on_listing, on_events)
-
     async def _start_vm_discovery(self, store):
         """Announce this VM to the others and follow the list of VMs."""
         settings = self.settings
@@ -278,7 +272,7 @@
         if self.is_stopping:
             self.shutdown.limit(newer.grace_s)
         if has_moved:
-            await self._follow_again()
+            await self.subscription.restart()
 
     async def watch_settings(self, load_settings, hangup):
         """Reload at each ``hangup`` event and at a fixed interval, forever."""
@@ -322,6 +316,8 @@
     async def close(self):
         """Cancel the tasks in reverse order; idempotent."""
         await self.ingress.close()
+        if self.subscription is not None:
+            await self.subscription.close()
         while self.tasks:
             await self.tasks.pop().cancel()
         if self.gateway.scheduler_endpoint is not None:
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -13,9 +13,9 @@
 import curio.errors
 
 from mangorock import accounting
+from mangorock import admission
 from mangorock import budget
 from mangorock import catalog as catalogs
-from mangorock import context as contexts
 from mangorock import errors
 from mangorock import generation
 from mangorock import ingress
@@ -26,6 +26,7 @@
 from mangorock import refusals
 from mangorock import registry as registries
 from mangorock import retries
+from mangorock import revocation
 from mangorock import scheduler
 from mangorock import sending
 from mangorock import silence
@@ -38,8 +39,6 @@
 RETRY_AFTER_RANGE_S = (0.8, 1.6)
 # Range of the factor on a known time until there is room.
 RETRY_AFTER_SPREAD = (0.9, 1.4)
-# Short while this VM stops, since another VM can take the request at once.
-STOP_RETRY_AFTER_S = 0.05
 
 
 @attrs.define
@@ -47,7 +46,8 @@
     """Serves requests and holds the state that they share.
 
     ``wire`` is the adapter that encodes and decodes the platform's
-    messages.  Once ``stops_at_s`` is set, requests whose deadline lies
+    messages.  ``keys`` tells whether keys of client accounts are certain to
+    be valid.  Once ``stops_at_s`` is set, requests whose deadline lies
     behind it are refused.
     """
 
@@ -73,6 +73,9 @@
         factory=quarantines.Quarantine
     )
     isolation: object = None
+    keys: revocation.KeyConfirmation = attrs.field(
+        factory=revocation.KeyConfirmation
+    )
     stops_at_s: float | None = None
 
     def __attrs_post_init__(self):
@@ -92,7 +95,7 @@
         request = context = None
         try:
             request = self.wire.decode_request(raw)
-            context = self._accept(request, reply)
+            context = admission.accept(self, request, reply)
             async with curio.timeout_after(context.left_s):
                 end = await self._serve(context)
         except errors.MangorockError as exc:
@@ -104,7 +107,7 @@
             await self._refuse(reply, refusal)
         except ingress.StopReached:
             end = 'stopped'
-            refusal = refusals.stopped(context, STOP_RETRY_AFTER_S)
+            refusal = refusals.stopped(context, admission.STOP_RETRY_AFTER_S)
             await self._refuse(reply, refusal)
         except curio.errors.CancelledError as exc:
             end = 'caller_gone' if reply.caller_error else 'cancelled'
@@ -140,36 +143,6 @@
         status, headers, body = self.wire.encode_refusal(error)
         await reply.respond(status, headers, body)
 
-    def _accept(self, request, reply):
-        if not self.catalog.version:
-            raise errors.NoTables(
-                'no configuration has been loaded yet; check the platform',
-                retry_after_s=0.5,
-            )
-        route = self.catalog.find_route(request.host, request.path)
-        if route is None:
-            raise errors.NoRoute(
-                f'no route matches host {request.host!r} and path '
-                f'{request.path!r}; check the address'
-            )
-        wait_s = route.timeout_s
-        if request.deadline_s is not None:
-            wait_s = min(wait_s, request.deadline_s)
-        deadline_s = request.received_s + wait_s
-        if self.stops_at_s is not None and deadline_s > self.stops_at_s:
-            raise errors.ShuttingDown(
-                'this VM stops before the deadline of the request; send it '
-                'again, the load balancer will pick another VM',
-                retry_after_s=STOP_RETRY_AFTER_S,
-            )
-        service = route.pick_service(self.rng.random())
-        ledger = self.budgets.open(service, time.monotonic())
-        context = contexts.RequestContext(
-            request, route, reply, deadline_s, service, ledger
-        )
-        self.check_quarantine(context)
-        return context
-
     async def _serve(self, context):
         service = self.catalog.services.get(context.service)
         if service is None:
@@ -180,16 +153,6 @@
             case _:
                 return await self._serve_plain(context, service)
 
-    def check_quarantine(self, context):
-        """Raise `errors.Quarantined` if the prompt must not reach an engine.
-
-        A part may be recognised while requests with it wait, so that this is
-        checked again before each send.
-        """
-        found = self.quarantine.find(context.request.prompt, time.monotonic())
-        if found is not None:
-            raise refusals.quarantined(context, found.part_id, found.left_s)
-
     def retry_after_s(self):
         """Return a random Retry-After value, in seconds."""
         return self.rng.uniform(*RETRY_AFTER_RANGE_S)
@@ -317,7 +280,7 @@
 
         Each send needs one, as it is paid for here.
         """
-        self.check_quarantine(context)
+        admission.check_sendable(self, context)
         now = time.monotonic()
         if not context.ledger.send(now, is_prefill):
             raise refusals.backend_refused(context, self.retry_after_s())
@@ -326,7 +289,8 @@
             server,
             context.left_s,
             is_prefill=is_prefill,
-            priority=context.route.priority,
+            priority=context.priority,
+            account=context.account_name,
             **options,
         )
 
@@ -374,7 +338,7 @@
             if wait_s <= 0:
                 raise refusals.overloaded(context, self.retry_after_s())
             ticket.wakeup.clear()
-            self.check_quarantine(context)
+            admission.check_sendable(self, context)
             if queue.is_first(ticket.priority, ticket):
                 found = place()
                 if found is not None:
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -14,6 +14,7 @@
 import curio.errors
 
 from mangorock import accounting
+from mangorock import admission
 from mangorock import delivery
 from mangorock import events
 from mangorock import logs
@@ -144,9 +145,9 @@
         event.
         """
         context, prompt = self.context, self.context.request.prompt
-        self.gateway.check_quarantine(context)
+        admission.check_sendable(self.gateway, context)
         route, now = context.route, time.monotonic()
-        priority = route.priority
+        priority = context.priority
         target_at_s = context.request.received_s + route.target_s
         if self.relay.reply.is_started:
             priority = messages.RESUMED_PRIORITY
--- a/src/mangorock/ingress.py
+++ b/src/mangorock/ingress.py
@@ -236,8 +236,10 @@
         try:
             request = await self.reader.read(sock, conn)
         except h11.RemoteProtocolError as exc:
+            # The rest of the text may contain a header, and so a key.
+            problem = str(exc).partition(':')[0]
             error = errors.BadRequest(
-                f'malformed HTTP request ({exc}); correct it'
+                f'malformed HTTP request ({problem}); correct it'
             )
             return await self._refuse(reply, error)
         except errors.MangorockError as exc:
--- a/src/mangorock/mirror.py
+++ b/src/mangorock/mirror.py
@@ -22,6 +22,7 @@
 import attrs
 import curio
 
+from mangorock import clocks
 from mangorock import errors
 from mangorock import logs
 
@@ -44,6 +45,10 @@
 # The same holds for a listing that was lost and the longest pause after it.
 LIST_TIMEOUT_PART = 0.5
 MAX_BACKOFF_PART = 0.33
+# Part of the bound on the age of what was confirmed that the age of a sound
+# mirror reaches; the rest is for the response and one lost watch.
+CONFIRM_PART = 0.8
+MIN_WATCH_WAIT_S = 0.2
 
 
 @attrs.frozen
@@ -65,25 +70,35 @@
     batch_delay_s: float
 
 
-def make_timing(stable_s, change_s):
+def make_timing(stable_s, change_s, confirm_s=None):
     """Return the `Timing` of a mirror that catches up within ``stable_s``.
 
     From ``stable_s`` seconds after the end of a silence of the store on, it
     has all changes that were made before that end; otherwise it has a change
-    ``change_s`` seconds after it was made.
+    ``change_s`` seconds after it was made.  While the store responds, what
+    the mirror has was confirmed within the last ``confirm_s`` seconds, if
+    that is given.
 
     Example::
 
         make_timing(stable_s=3.0, change_s=2.0).watch_timeout_s    # 2.7
     """
     catch_up_s = min(MAX_CATCH_UP_S, stable_s)
+    batch_delay_s = min(
+        MAX_BATCH_DELAY_S, BATCH_DELAY_PART * min(stable_s, change_s)
+    )
+    wait_s = WATCH_WAIT_PART * catch_up_s
+    if confirm_s is not None:
+        # Until a watch ends, the one before it is the newest confirmation.
+        age_s = CONFIRM_PART * confirm_s - batch_delay_s
+        wait_s = max(MIN_WATCH_WAIT_S, min(wait_s, age_s / 2))
     return Timing(
-        WATCH_WAIT_PART * catch_up_s,
-        WATCH_TIMEOUT_PART * catch_up_s,
+        wait_s,
+        wait_s + (WATCH_TIMEOUT_PART - WATCH_WAIT_PART) * catch_up_s,
         min(LIST_TIMEOUT_S, LIST_TIMEOUT_PART * catch_up_s),
         min(MIN_BACKOFF_S, MIN_BACKOFF_PART * catch_up_s),
         min(MAX_BACKOFF_S, MAX_BACKOFF_PART * catch_up_s),
-        min(MAX_BATCH_DELAY_S, BATCH_DELAY_PART * min(stable_s, change_s)),
+        batch_delay_s,
     )
 
 
@@ -153,7 +168,12 @@
 
 @attrs.define
 class Mirror:
-    """The state of one prefix; ``is_synced`` after the first full listing."""
+    """The state of one prefix; ``is_synced`` after the first full listing.
+
+    What it has is at least as new as the store was at ``confirmed_s``, the
+    time at which a call that was answered had been sent.  Times are of
+    `clocks.boot_clock`.
+    """
 
     prefix: str
     timing: Timing
@@ -162,6 +182,8 @@
     is_synced: bool = False
     last_listed_key: str = ''
     first_page_revision: int | None = None
+    first_page_sent_s: float = 0.0
+    confirmed_s: float = float('-inf')
     listed: list = attrs.field(factory=list)
     backoff_s: float = 0.0
 
@@ -179,25 +201,32 @@
             timing.watch_timeout_s,
         )
 
-    def on_page(self, page):
-        """Add a page; return the whole listing after the last page."""
+    def on_page(self, page, sent_s=0.0):
+        """Add a page; return the whole listing after the last page.
+
+        ``sent_s`` is when the call was sent.
+        """
         self.backoff_s = 0.0
         if self.first_page_revision is None:
             self.first_page_revision = page.revision
+            self.first_page_sent_s = sent_s
         self.listed += page.items
         if page.has_more and page.items:
             self.last_listed_key = page.items[-1].key
             return None
         listing = tuple(self.listed)
         self.revision = self.first_page_revision
+        self.confirmed_s = self.first_page_sent_s
         self._reset_listing()
         self.is_listing = False
         self.is_synced = True
         return listing
 
-    def on_changes(self, changes):
+    def on_changes(self, changes, sent_s=0.0):
         """Advance the revision past the events of a watch and return them.
 
+        ``sent_s`` is when the call was sent.
+
         The next watch starts after the last event received, not at the
         store's revision: a watch that returned no events may have missed
         some.  If the store has dropped that history, a new listing follows.
@@ -205,6 +234,7 @@
         self.backoff_s = 0.0
         for event in changes.events:
             self.revision = max(self.revision, event.revision)
+        self.confirmed_s = sent_s
         return changes.events
 
     def batch_delay_s(self, jitter):
@@ -245,7 +275,7 @@
     while True:
         opened_s = time.monotonic()
         try:
-            events = await _step(mirror, store, on_listing, on_events)
+            events = await step(mirror, store, on_listing, on_events)
             if unavailable_since_s is not None:
                 away_s = time.monotonic() - unavailable_since_s
                 logs.event(
@@ -284,15 +314,16 @@
             await curio.sleep(mirror.on_failure(rng.random()))
 
 
-async def _step(mirror, store, on_listing, on_events):
+async def step(mirror, store, on_listing, on_events):
     """Make one call; return the number of events that a watch received."""
     call = mirror.next_call()
+    sent_s = clocks.boot_clock()
     match call:
         case ListPage():
             page = await store.list_page(
                 call.prefix, call.after, call.timeout_s
             )
-            listing = mirror.on_page(page)
+            listing = mirror.on_page(page, sent_s)
             if listing is not None:
                 on_listing(listing)
             return 0
@@ -300,5 +331,5 @@
             changes = await store.watch(
                 call.prefix, call.revision, call.wait_s, call.timeout_s
             )
-            on_events(mirror.on_changes(changes))
+            on_events(mirror.on_changes(changes, sent_s))
             return len(changes.events)
--- a/src/mangorock/refusals.py
+++ b/src/mangorock/refusals.py
@@ -66,6 +66,28 @@
     )
 
 
+def keys_unconfirmed(retry_after_s):
+    """Return the error while keys may have been removed unnoticed."""
+    return errors.NoTables(
+        'the store has not confirmed the keys of client accounts for too '
+        'long; try again, another VM may reach the store',
+        retry_after_s=retry_after_s,
+    )
+
+
+def unauthenticated():
+    """Return the error for a request without a valid key."""
+    return errors.Unauthenticated(
+        'the request has no valid key of a client account; send one key that '
+        'the configuration has'
+    )
+
+
+def key_removed(context):
+    """Return the error for a request whose key was removed meanwhile."""
+    return _if_not_run(context, unauthenticated())
+
+
 def quarantined(context, part_id, retry_after_s):
     """Return the error for a prompt with a part that crashes engines."""
     return _if_not_run(
--- a/src/mangorock/registry.py
+++ b/src/mangorock/registry.py
@@ -36,7 +36,7 @@
 
     ``started_ms`` is its start in Unix milliseconds, ``sequence`` increases
     with each report of the incarnation, and ``stage`` is None for plain
-    servers.
+    servers.  A server with ``is_spot`` may be reclaimed at short notice.
     """
 
     server_id: str
@@ -48,6 +48,7 @@
     sequence: int = 0
     is_draining: bool = False
     stage: Stage | None = None
+    is_spot: bool = False
 
     @property
     def incarnation(self):
--- a/src/mangorock/staging.py
+++ b/src/mangorock/staging.py
@@ -15,6 +15,7 @@
 import curio.errors
 import h11
 
+from mangorock import clocks
 from mangorock import errors
 from mangorock import logs
 from mangorock import presence
@@ -68,11 +69,6 @@
     is_busy: bool
 
 
-def boot_clock():
-    """Return a time in seconds that advances while the VM is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 @attrs.define
 class PlanningLoop:
     """Plans the stages of the services that this VM schedules.
@@ -139,7 +135,7 @@
     wire: object
     announce_away: object
     clock: object = time.monotonic
-    boot_clock: object = boot_clock
+    boot_clock: object = clocks.boot_clock
     leaderships: dict = attrs.field(factory=dict)
     requests: dict = attrs.field(factory=dict)
     order_times_s: dict = attrs.field(factory=dict)
--- a/src/mangorock/traffic.py
+++ b/src/mangorock/traffic.py
@@ -64,9 +64,10 @@
     """A complete request of a caller.
 
     ``headers`` are the (name, value) bytes to forward, without hop-by-hop
-    headers and those that this system sets.  ``deadline_s`` is how long
-    the caller waits, None if it does not say; ``received_s`` is the
-    monotonic time of the request's last byte.  ``last_event_id`` is set
+    headers, those that this system sets and the key.  ``key`` identifies the
+    client account, None if there is none or more than one.  ``deadline_s``
+    is how long the caller waits, None if it does not say; ``received_s`` is
+    the monotonic time of the request's last byte.  ``last_event_id`` is set
     where the caller resumes a stream.
     """
 
@@ -80,6 +81,7 @@
     deadline_s: float | None = None
     last_event_id: int | None = None
     prompt: Prompt | None = None
+    key: str | None = attrs.field(default=None, repr=False)
 
     @property
     def path(self):
@@ -104,7 +106,8 @@
     engine only prefills the prompt and returns a `Handle`; with ``handle``
     it first fetches that KV cache.  ``fetch_from`` is the address of an
     engine whose cached prefix may be copied.  ``resume_after`` is the id of
-    the last event that the caller has received.
+    the last event that the caller has received.  ``account`` is the name of
+    the client account, '' if there is none.
     """
 
     server: registry.BackendServer
@@ -114,15 +117,21 @@
     fetch_from: str = ''
     resume_after: int | None = None
     priority: int | None = None
+    account: str = ''
 
 
 @attrs.frozen
 class LoadReport:
-    """Requests running and waiting at a server that runs ``slots`` at once."""
+    """Requests running and waiting at a server that runs ``slots`` at once.
+
+    ``pace`` is how long work takes there at the moment in relation to the
+    usual time: 2.0 is half the speed.  It is None if the server doesn't say.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 @attrs.frozen
--- a/src/mangorock/waiting.py
+++ b/src/mangorock/waiting.py
@@ -36,7 +36,7 @@
     route = context.route
     target_s = MAX_WAIT_TARGET_FRACTION * route.target_s
     until_s = context.request.received_s + target_s
-    return Wait(route.priority, min(until_s, context.deadline_s))
+    return Wait(context.priority, min(until_s, context.deadline_s))
 
 
 @attrs.define(eq=False)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -164,7 +164,7 @@
         if request.method == 'POST':
             return await self._write(request, responder)
         path, _, query = request.path.partition('?')
-        query = dict(urllib.parse.parse_qsl(query))
+        query = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         self.requested_paths.append(path)
         if self.status != 200:
             return await responder.respond(self.status, b'')
@@ -299,10 +299,7 @@
         """
         front, newest = self.front, self.store.revision
         async with curio.timeout_after(self.settings.config_s):
-            while not any(
-                mirror.revision >= newest
-                for mirror in (front.config_mirror, front.servers_mirror)
-            ):
+            while front.subscription.revision < newest:
                 await curio.sleep(0.01)
 
     def request_headers(self, *extra_headers):
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -194,6 +194,19 @@
 JITTER = strategies.sampled_from((0.0, 0.5, 0.999))
 
 
+def make_store(silences, changes):
+    """Return the `SimulatedStore` of generated silences and changes."""
+    ends = sum_up([ms for row in silences for ms in row[:2]])
+    spans = list(zip(ends[::2], ends[1::2]))
+    kinds = [kind for _, _, kind in silences]
+    made_s = sum_up([gap_ms for gap_ms, _ in changes])
+    return SimulatedStore(
+        list(zip(made_s, [key for _, key in changes])),
+        [span for span, kind in zip(spans, kinds) if kind == 'silence'],
+        [span for span, kind in zip(spans, kinds) if kind == 'freeze'],
+    )
+
+
 def find_failure():
     """Return the first inputs for which a change is known late, or None."""
     found = []
@@ -207,15 +220,7 @@
     )
     @hypothesis.given(SILENCES, CHANGES, BOUNDS, JITTER, strategies.booleans())
     def check(silences, changes, bounds, jitter, is_clock_stopped):
-        ends = sum_up([ms for row in silences for ms in row[:2]])
-        spans = list(zip(ends[::2], ends[1::2]))
-        kinds = [kind for _, _, kind in silences]
-        made_s = sum_up([gap_ms for gap_ms, _ in changes])
-        store = SimulatedStore(
-            list(zip(made_s, [key for _, key in changes])),
-            [span for span, kind in zip(spans, kinds) if kind == 'silence'],
-            [span for span, kind in zip(spans, kinds) if kind == 'freeze'],
-        )
+        store = make_store(silences, changes)
         late_s = find_late(store, *bounds, jitter, is_clock_stopped)
         if late_s is not None:
             found.append((store, bounds, jitter, is_clock_stopped, late_s))
