Let the request of a test wait longer than a delayed watch

Cause: the request was refused as overloaded after its target of 0.3 s, before the change of its key was read. Change: a target of 1.4 s in that test.

--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -109,6 +109,8 @@
     async def test_key_that_is_removed_while_the_request_waits(self):
         # Guards against a check at the arrival of the request only.
         config = make_config()
+        # How long a request waits.
+        config['routes'][0]['targetLatencyMs'] = 1400
         async with fleet.Fleet(config=config) as cluster:
             cluster.store.put('servers/w1', self.worker.entry())
             await cluster.wait_for_updates()
