Move the lease of stage orders into a module of its own

Cause: usage reports and orders for servers need the same right of one VM at a time. Change: leadership.Leadership and leadership.LeaseHolder, used by staging; log events and keys are the same. Result: 22 tests of stage changes passed, with the simulation of concurrent leaders and its two mutations.

--- a/src/mangorock/stages.py
+++ b/src/mangorock/stages.py
@@ -1,4 +1,4 @@
-"""Decides which engine changes its stage, and which VM may order it.
+"""Decides which engine changes its stage.
 
 This handles a lasting shift of the load.  While prompts are long for many
 seconds, the queues of the prefill engines stay full and most slots of the
@@ -6,10 +6,8 @@
 time, and not for a short swing, since an engine that changes is unavailable
 for some seconds.
 
-`StagePlanner` decides from the state of a service's scheduler.  `Leadership`
-is the right to order changes: a key in the platform's store that exists only
-while its lease is renewed, and whose revision is the fencing token of every
-order.  Both are state machines without sockets or clocks.
+`StagePlanner` decides from the state of a service's scheduler.  It is a state
+machine without sockets or clocks.
 """
 
 import attrs
@@ -200,60 +198,3 @@
     prefill_engine = attrs.evolve(server, stage=registry.Stage.PREFILL)
     token_s = scheduler.model.token_s(prefill_engine)
     return STAGE_CHANGE_S + scheduler.engine(server).cache.tokens * token_s
-
-
-@attrs.define
-class Leadership:
-    """The right to order stage changes in a service, held through a lease.
-
-    The lease runs for ``lease_s`` from before each call that renewed it.  No
-    order is sent in its second half, so that the next leader's first order
-    comes at least half a lease after this one's last.  Times are of a clock
-    that also advances while the VM is suspended.
-
-    Example::
-
-        leadership = Leadership(lease_s=6.0)
-        leadership.begin('lease-7', 100.0)
-        leadership.acquire(41)
-        leadership.may_order(102.9)      # True
-        leadership.may_order(103.1)      # False, until `renew`
-    """
-
-    lease_s: float
-    lease: object = None
-    fence: int | None = None
-    renewed_s: float = 0.0
-
-    def begin(self, lease, now):
-        """Start with a lease that was requested at ``now``."""
-        self.lease, self.fence, self.renewed_s = lease, None, now
-
-    def acquire(self, fence):
-        """Record that this VM owns the key, with this fencing token."""
-        self.fence = fence
-
-    def renew(self, now):
-        """Record that a call sent at ``now`` renewed the lease."""
-        self.renewed_s = now
-
-    def lose(self):
-        """Drop the lease and the token; the lease expires by itself."""
-        self.lease = self.fence = None
-
-    @property
-    def is_held(self):
-        """Return whether the key was acquired and not lost since."""
-        return self.fence is not None
-
-    def needs_renewal(self, now):
-        """Return whether more than a third of the lease has passed."""
-        return now - self.renewed_s > self.lease_s / 3
-
-    def is_expired(self, now):
-        """Return whether the lease may have expired."""
-        return now - self.renewed_s > self.lease_s
-
-    def may_order(self, now):
-        """Return whether an order may be sent now."""
-        return self.is_held and now - self.renewed_s < self.lease_s / 2
--- a/src/mangorock/staging.py
+++ b/src/mangorock/staging.py
@@ -17,8 +17,8 @@
 
 from mangorock import clocks
 from mangorock import errors
+from mangorock import leadership
 from mangorock import logs
-from mangorock import presence
 from mangorock import stages
 
 KEY_PREFIX = 'mangorock/stages/'
@@ -182,66 +182,32 @@
 
         Without recent requests it does neither, so that the lease expires.
         """
-        leadership = self.leaderships.setdefault(
-            service, stages.Leadership(self.lease_s)
-        )
-        is_idle = now - self.requests[service][2] >= LEADER_IDLE_S
-        clock_s = self.boot_clock()
-        if leadership.lease is not None and leadership.is_expired(clock_s):
-            logs.event('tenure_over', service=service, fence=leadership.fence)
-            leadership.lose()
-        if is_idle:
+        holder = self.leaderships.get(service)
+        if holder is None:
+            holder = self.leaderships[service] = leadership.make_lease_holder(
+                self.vm,
+                KEY_PREFIX + service,
+                self.lease_s,
+                self.store,
+                clock=self.boot_clock,
+                fields={'service': service},
+            )
+        holder.drop_expired()
+        if now - self.requests[service][2] >= LEADER_IDLE_S:
             return False
-        if not leadership.is_held:
-            await self._acquire(service, leadership, clock_s)
-        elif leadership.needs_renewal(clock_s):
-            await self._renew(service, leadership, clock_s)
-        return leadership.may_order(self.boot_clock())
-
-    async def _acquire(self, service, leadership, clock_s):
-        """Create the key, or read who owns it."""
-        key = KEY_PREFIX + service
-        if leadership.lease is None:
-            lease = await self.store.grant_lease(self.lease_s)
-            leadership.begin(lease, clock_s)
-            value = f'{self.vm} {lease}'.encode()
-            try:
-                revision = await self.store.create(key, value, lease)
-            except presence.LeaseLost:
-                # The store was so slow that the lease had expired.
-                logs.event('tenure_lost', service=service, fence=None)
-                leadership.lose()
-                return
-        else:
-            # The answer to the creation was lost, or another VM was first.
-            item = await self.store.read(key)
-            own_value = f'{self.vm} {leadership.lease}'.encode()
-            is_own = item is not None and item.value == own_value
-            revision = item.revision if is_own else None
-        if revision is not None:
-            leadership.acquire(revision)
-            logs.event('tenure_won', service=service, fence=revision)
-
-    async def _renew(self, service, leadership, clock_s):
-        try:
-            await self.store.keep_lease(leadership.lease)
-        except presence.LeaseLost:
-            logs.event('tenure_lost', service=service, fence=leadership.fence)
-            leadership.lose()
-            return
-        leadership.renew(clock_s)
+        return await holder.ensure()
 
     async def _order(self, service, change):
         state = await self._read_state(change.server)
         if state is None or state.is_busy:
             return
-        leadership = self.leaderships[service]
+        holder = self.leaderships[service]
         self.announce_away(service, change.server.server_id, ENGINE_PAUSE_S)
         await curio.sleep(ANNOUNCE_DELAY_S)
-        if not leadership.may_order(self.boot_clock()):
+        if not holder.may_act():
             return
         self.order_times_s[change.server.incarnation] = self.clock()
-        order = Order(change, self.vm, leadership.fence, state.orders_taken)
+        order = Order(change, self.vm, holder.fence, state.orders_taken)
         end = await self._send(order)
         logs.event(
             'stage_ordered',
@@ -253,7 +219,7 @@
             end=end.value,
         )
         if end is OrderEnd.FENCED:
-            leadership.lose()
+            holder.lose()
 
     async def _read_state(self, server):
         try:
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -11,6 +11,7 @@
 
 from mangorock import engines
 from mangorock import errors
+from mangorock import leadership
 from mangorock import mirror
 from mangorock import presence
 from mangorock import registry
@@ -131,22 +132,22 @@
     """No order is allowed in the second half of a lease."""
 
     def test_order_only_in_the_first_half_of_a_lease(self):
-        leadership = stages.Leadership(6.0)
-        leadership.begin('l1', 100.0)
-        self.assertFalse(leadership.may_order(100.1))
-        leadership.acquire(41)
-        self.assertTrue(leadership.may_order(102.9))
-        self.assertFalse(leadership.may_order(103.1))
-        leadership.renew(103.0)
-        self.assertTrue(leadership.may_order(105.0))
-        self.assertTrue(leadership.is_expired(109.1))
+        held = leadership.Leadership(6.0)
+        held.begin('l1', 100.0)
+        self.assertFalse(held.may_order(100.1))
+        held.acquire(41)
+        self.assertTrue(held.may_order(102.9))
+        self.assertFalse(held.may_order(103.1))
+        held.renew(103.0)
+        self.assertTrue(held.may_order(105.0))
+        self.assertTrue(held.is_expired(109.1))
 
     def test_suspended_leader_may_not_order(self):
-        leadership = stages.Leadership(6.0)
-        leadership.begin('l1', 100.0)
-        leadership.acquire(41)
+        held = leadership.Leadership(6.0)
+        held.begin('l1', 100.0)
+        held.acquire(41)
         # The clock advanced while the VM was suspended.
-        self.assertFalse(leadership.may_order(170.0))
+        self.assertFalse(held.may_order(170.0))
 
 
 class StageRequests(unittest.TestCase):
@@ -400,12 +401,12 @@
         def may_order(self, now):
             return self.is_held
 
-        original = stages.Leadership.may_order
-        stages.Leadership.may_order = may_order
+        original = leadership.Leadership.may_order
+        leadership.Leadership.may_order = may_order
         try:
             self.assertIsNotNone(find_conflict())
         finally:
-            stages.Leadership.may_order = original
+            leadership.Leadership.may_order = original
 
     def test_finds_a_store_that_overwrites_the_key(self):
         def create(self, key, value, lease):
