Order servers by the demand of all VMs, spot ones first

Change: the VM that ranks first holds one lease for the duties. It adds up the demand samples of all VMs, plans the servers of each failure domain and kind, and orders what differs from the registry. Spot servers replace the others before there is demand; servers go in steps while answers are in time; the loss of any one domain's spot servers leaves what the demand needs.

--- a/src/mangorock/accounting.py
+++ b/src/mangorock/accounting.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from mangorock import errors
 from mangorock import ingress
 from mangorock import logs
 from mangorock import sending
@@ -17,6 +18,14 @@
 
 # The callers choose the parts of their prompts.
 MAX_LOGGED_CHARS = 200
+# Ends of requests for which the servers had no room.
+LACKS_ROOM = frozenset(
+    (
+        errors.Reason.OVERLOADED.value,
+        errors.Reason.BACKEND_REFUSED.value,
+        errors.Reason.NO_BACKEND.value,
+    )
+)
 
 
 @attrs.frozen
@@ -52,6 +61,7 @@
     seconds = time.monotonic() - end.raw.received_s
     gateway.metrics.timing('request', seconds)
     _count_arrivals(gateway.metrics, end.context)
+    _count_demand(gateway.demand, end, seconds)
     fields = {
         **_describe_request(end),
         'end': end.reason,
@@ -81,6 +91,21 @@
         metrics.add('retries_paid', ledger.paid)
 
 
+def _count_demand(counter, end, seconds):
+    """Count the end of a request, and whether it came too late."""
+    context = end.context
+    if context is None:
+        return
+    first_s = context.seconds_since_received(context.first_event_at_s)
+    latency_s = first_s if first_s >= 0 else seconds
+    is_refused = end.reason in LACKS_ROOM
+    counter.on_end(
+        context.service,
+        is_late=not is_refused and latency_s > context.route.target_s,
+        is_refused=is_refused,
+    )
+
+
 def _describe_request(end):
     if end.context is not None:
         return {
--- a/src/mangorock/admission.py
+++ b/src/mangorock/admission.py
@@ -54,6 +54,7 @@
         request, route, reply, deadline_s, service, ledger, account
     )
     _check_quarantine(gateway, context)
+    gateway.demand.on_open(service)
     return context
 
 
--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -139,6 +139,10 @@
         """
         return self._peer(self._ranked(service, now)[:2][-1])
 
+    def ranked_peers(self, subject, now, count):
+        """Return the first ``count`` VMs for a subject, None for this VM."""
+        return [self._peer(vm) for vm in self._ranked(subject, now)[:count]]
+
     def _ranked(self, service, now):
         vms = [
             vm for vm in self.peers if self.skipped_until_s.get(vm, 0.0) <= now
@@ -168,8 +172,9 @@
     the local `scheduler.Scheduler` of a service, or None if it has no known
     engine.  ``servers(service)`` returns the servers that may be used, and
     ``pause(server_id, seconds)`` stops the use of one.
-    ``on_stage_request(service, server_id, stage)`` and the coroutine
-    ``on_part_message(message)`` are set after construction.
+    ``on_stage_request(service, server_id, stage)``, the coroutine
+    ``on_part_message(message)`` and ``on_duty_message(message)``, which
+    returns an answer or None, are set after construction.
     """
 
     def __init__(self, directory, schedulers, servers, pause):
@@ -179,6 +184,7 @@
         self.pause = pause
         self.on_stage_request = None
         self.on_part_message = None
+        self.on_duty_message = None
         self.request_numbers = itertools.count(1)
         self.pending_replies = {}
         self.waiting_services = set()
@@ -362,11 +368,24 @@
                 | messages.PartQuarantined()
             ):
                 await self.on_part_message(message)
+            case messages.DemandSample() | messages.DemandTaken():
+                self._handle_duty_message(number, message, sender)
             case _:
                 pending = self.pending_replies.get(number)
                 if pending is not None:
                     await pending.put(message)
 
+    def _handle_duty_message(self, number, message, sender):
+        if self.on_duty_message is None:
+            return
+        answer = self.on_duty_message(message)
+        if answer is not None:
+            self._send(number, answer, sender)
+
+    def send_to(self, peer, message):
+        """Send a message to one VM; it may be lost."""
+        self._send(0, message, peer.address)
+
     async def _place(self, request, reply):
         """Return the local scheduler's answer, or None if it has none."""
         found = self.schedulers(request.service)
--- /dev/null
+++ b/src/mangorock/fleet_size.py
@@ -0,0 +1,240 @@
+"""Decides how many servers of a service each failure domain should have.
+
+It answers three load patterns where servers are billed by the second and are
+ordered of two kinds, of which the spot ones cost less and may be reclaimed,
+all of a failure domain at once:
+
+* Servers that were there at the start, more and of a dearer kind than needed:
+  as many spot servers are ordered, and when they serve, the others go.
+* A demand that swings within seconds: its peak of many seconds counts, servers
+  go in steps, and none while answers are late or requests refused.
+* Spot servers that are reclaimed: what remains without those of any one
+  failure domain still carries the demand, and while a domain has none to
+  order, the others have more.  Where only one domain has spot servers, the
+  other kind carries the demand.
+
+`FleetPlanner` is a state machine without I/O.
+"""
+
+import math
+
+import attrs
+
+# Share of the slots that the peak demand may use.
+TARGET_OCCUPANCY = 0.5
+# Share of late and refused requests above which servers are added, and the
+# factor; no server goes above the lower share.
+HIGH_PRESSURE, LOW_PRESSURE = 0.2, 0.08
+PRESSURE_FACTOR = 1.25
+MAX_PRESSURE_FACTOR = 2.0
+# The factor that remains of it with each plan without pressure.
+PRESSURE_DECAY = 0.99
+# Demand is known after this time, in seconds: longer than one swing.
+OBSERVE_S = 8.0
+# Largest share of a service's servers that goes at once, and the time between
+# two such steps and between two additions for pressure, in seconds.
+STEP_SHARE = 0.25
+STEP_INTERVAL_S = 3.0
+# Relative change of the needed servers up to which nothing is ordered.
+DEAD_BAND = 0.1
+# A failure domain without spot servers is asked again after this time.
+SPOT_RETRY_S = 4.0
+
+
+@attrs.frozen
+class Kind:
+    """The servers of one kind in one failure domain."""
+
+    failure_domain: str
+    is_spot: bool
+
+
+@attrs.frozen
+class Presence:
+    """How many servers of a `Kind` serve, and how many leave."""
+
+    ready: int = 0
+    leaving: int = 0
+
+
+@attrs.define
+class FleetPlanner:
+    """The wanted number of servers of one service by `Kind`.
+
+    ``wanted`` is None until the first plan, which starts from the servers that
+    are present.  ``found`` is how many there were without those ordered here,
+    ``needed`` how many must remain after a loss.
+    """
+
+    wanted: dict | None = None
+    found: int = 0
+    needed: int = 0
+    factor: float = 1.0
+    stepped_s: float = float('-inf')
+    pressed_s: float = float('-inf')
+    no_spot_until_s: dict = attrs.field(factory=dict)
+
+    def on_unavailable(self, kind, now):
+        """Record that no server of a kind can be had."""
+        if kind.is_spot:
+            until_s = now + SPOT_RETRY_S
+            self.no_spot_until_s[kind.failure_domain] = until_s
+            if self.wanted is not None:
+                self.wanted[kind] = 0
+
+    def plan(self, scaling, slots, present, demand, now):
+        """Return the wanted number of servers by `Kind`.
+
+        ``present`` has the `Presence` of each kind, ``demand`` is the
+        `demand.ServiceDemand` or None where too few VMs told theirs.
+        """
+        if self.wanted is None:
+            self.wanted = {
+                kind: found.ready for kind, found in present.items()
+            }
+            self.found = sum(self.wanted.values())
+        dearer = sum(
+            f.ready for kind, f in present.items() if not kind.is_spot
+        )
+        self.found = max(self.found, dearer)
+        self._notice_reclaimed(present, now)
+        spot_domains = self._spot_domains(scaling, now)
+        needed = self._needed(slots, demand, spot_domains, now)
+        if abs(needed - self.needed) > DEAD_BAND * self.needed:
+            self.needed = needed
+        target = _cheapest(scaling, self.needed, spot_domains)
+        self.wanted = self._approach(target, present, demand, now)
+        return self.wanted
+
+    def _notice_reclaimed(self, present, now):
+        """Record domains all of whose spot servers leave though wanted."""
+        for kind, found in present.items():
+            is_gone = found.leaving and not found.ready
+            if kind.is_spot and is_gone and self.wanted.get(kind, 0):
+                self.on_unavailable(kind, now)
+
+    def _spot_domains(self, scaling, now):
+        return [
+            domain
+            for domain in scaling.domain_prices
+            if scaling.spot_price < 1.0
+            and self.no_spot_until_s.get(domain, now) <= now
+        ]
+
+    def _needed(self, slots, demand, spot_domains, now):
+        """Return the servers that must remain after any one loss.
+
+        Without a known demand there are as many as were found.
+        """
+        if not _is_known(demand):
+            parts = max(2, len(spot_domains))
+            remaining = (parts - 1) / parts if len(spot_domains) > 1 else 1.0
+            return math.ceil(self.found * remaining)
+        if demand.pressure >= HIGH_PRESSURE:
+            if now - self.pressed_s >= STEP_INTERVAL_S:
+                self.pressed_s = now
+                self.factor = min(
+                    MAX_PRESSURE_FACTOR, self.factor * PRESSURE_FACTOR
+                )
+        elif demand.pressure < LOW_PRESSURE:
+            self.factor = max(1.0, self.factor * PRESSURE_DECAY)
+        needed = self.factor * demand.peak / (slots * TARGET_OCCUPANCY)
+        return max(1, math.ceil(needed))
+
+    def _approach(self, target, present, demand, now):
+        """Return the counts to order now on the way to ``target``.
+
+        Additions are ordered at once.  Servers go only as far as those that
+        serve already carry the demand, and in steps.
+        """
+        wanted = {
+            kind: max(target.get(kind, 0), self.wanted.get(kind, 0))
+            for kind in {*target, *self.wanted}
+        }
+        is_calm = demand is None or demand.pressure < LOW_PRESSURE
+        if not is_calm or now - self.stepped_s < STEP_INTERVAL_S:
+            return wanted
+        ready = {kind: found.ready for kind, found in present.items()}
+        least = 0 if _is_known(demand) else self.found
+        budget = self._step(sum(ready.values()), demand)
+        for kind in sorted(wanted, key=lambda kind: kind.is_spot):
+            surplus = wanted[kind] - target.get(kind, 0)
+            while surplus > 0 and budget > 0:
+                left = wanted[kind] - 1
+                after = ready | {kind: min(ready.get(kind, 0), left)}
+                if _surviving(after) < self.needed:
+                    break
+                if sum(after.values()) < least:
+                    break
+                ready, wanted[kind] = after, left
+                surplus, budget = surplus - 1, budget - 1
+                self.stepped_s = now
+        return wanted
+
+    @staticmethod
+    def _step(ready, demand):
+        """Return how many servers may go in this step.
+
+        Before there is demand nothing runs on them, so that all may go.
+        """
+        if demand is None or demand.observed_s <= 0.0:
+            return ready
+        return max(1, int(STEP_SHARE * ready))
+
+
+def _is_known(demand):
+    return demand is not None and demand.observed_s >= OBSERVE_S
+
+
+def _surviving(counts):
+    """Return how many servers remain when one domain's spot ones go."""
+    spot = [count for kind, count in counts.items() if kind.is_spot]
+    return sum(counts.values()) - max(spot, default=0)
+
+
+def _cheapest(scaling, needed, spot_domains):
+    """Return the cheapest counts of which ``needed`` survive one loss.
+
+    With spot servers in k failure domains, k / (k - 1) times as many are
+    needed as without a loss.  Those of one domain alone may all be lost, so
+    that they carry nothing.
+    """
+    others = max(0, len(spot_domains) - 1)
+    most = min(scaling.max_servers, math.ceil(needed / max(1, others)))
+    for each in range(most if others else 0, -1, -1):
+        counts = {Kind(domain, True): each for domain in spot_domains}
+        missing = max(0, needed - each * others)
+        if each == 0 or missing <= _room(scaling, counts):
+            break
+    _add_others(scaling, counts, missing)
+    return counts
+
+
+def _room(scaling, counts):
+    """Return how many servers may be added to ``counts``."""
+    most = scaling.max_servers * len(scaling.domain_prices)
+    return most - sum(counts.values())
+
+
+def _add_others(scaling, counts, missing):
+    """Add servers that are not reclaimed, in the emptiest domains first.
+
+    Each domain gets its least number.  Among domains with the same number the
+    cheapest comes first.
+    """
+    prices = scaling.domain_prices
+    totals = {domain: counts.get(Kind(domain, True), 0) for domain in prices}
+    counts |= {Kind(domain, False): 0 for domain in prices}
+    for domain in prices:
+        if totals[domain] < scaling.min_servers:
+            added = scaling.min_servers - totals[domain]
+            counts[Kind(domain, False)] += added
+            totals[domain] += added
+            missing -= added
+    while missing > 0:
+        domain = min(prices, key=lambda d: (totals[d], prices[d]))
+        if totals[domain] >= scaling.max_servers:
+            return
+        counts[Kind(domain, False)] += 1
+        totals[domain] += 1
+        missing -= 1
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -16,16 +16,21 @@
 from mangorock import budget
 from mangorock import client as clients
 from mangorock import consultation
+from mangorock import demand
 from mangorock import discovery
+from mangorock import duty_calls
+from mangorock import duty_loop
 from mangorock import errors
 from mangorock import exposition
 from mangorock import gateway as gateways
 from mangorock import http
 from mangorock import ingress as ingresses
 from mangorock import isolation
+from mangorock import leadership
 from mangorock import logs
 from mangorock import mirror
 from mangorock import presence
+from mangorock import server_orders
 from mangorock import shutdown
 from mangorock import signals
 from mangorock import staging
@@ -46,9 +51,9 @@
 class FrontDaemon:
     """The tasks of the daemon, with explicit `start` and `close`.
 
-    ``platform`` is an adapter with ``wire``, ``orders``, ``make_store``,
-    ``config_prefix``, ``servers_prefix``, ``decode_catalog(items)`` and
-    ``decode_server(item)``.
+    ``platform`` is an adapter with ``wire``, ``orders``, ``cloud``,
+    ``make_store``, ``config_prefix``, ``servers_prefix``,
+    ``decode_catalog(items)`` and ``decode_server(item)``.
     """
 
     def __init__(self, settings, platform):
@@ -169,6 +174,8 @@
             endpoint.on_part_message = self.gateway.isolation.on_message
             await endpoint.start(settings.peer_address)
             await self._start_staging(store)
+            if settings.duties is not None:
+                await self._start_duties(store)
         await self.spawn(
             presence.announce,
             store,
@@ -204,6 +211,33 @@
             ).run
         )
 
+    async def _start_duties(self, store):
+        settings = self.settings
+        endpoint = self.gateway.scheduler_endpoint
+        holder = leadership.make_lease_holder(
+            settings.vm,
+            duty_loop.KEY,
+            ORDER_LEASE_FACTOR * settings.order_spacing_s,
+            store,
+            events=leadership.Events('duty_won', 'duty_lost', 'duty_over'),
+        )
+        totals = demand.DemandTotals()
+        loop = duty_loop.DutyLoop(
+            endpoint, holder, self.gateway.demand, totals
+        )
+        api = duty_calls.PlatformApi(
+            settings.duties.address,
+            settings.vm,
+            self.client,
+            self.platform.cloud,
+        )
+        if settings.duties.orders_servers:
+            loop.jobs.append(
+                server_orders.ServerOrders(self.gateway, api, totals)
+            )
+        endpoint.on_duty_message = loop.on_message
+        await self.spawn(loop.run)
+
     def _apply_vms(self, vms, items):
         self.gateway.set_vm_count(vms)
         if self.directory is not None:
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -16,6 +16,7 @@
 from mangorock import admission
 from mangorock import budget
 from mangorock import catalog as catalogs
+from mangorock import demand as demands
 from mangorock import errors
 from mangorock import generation
 from mangorock import ingress
@@ -76,6 +77,7 @@
     keys: revocation.KeyConfirmation = attrs.field(
         factory=revocation.KeyConfirmation
     )
+    demand: demands.DemandCounter = attrs.field(factory=demands.DemandCounter)
     stops_at_s: float | None = None
 
     def __attrs_post_init__(self):
--- a/src/mangorock/messages.py
+++ b/src/mangorock/messages.py
@@ -4,7 +4,8 @@
 a `Rejection`, or `Queued` and one of the others later.  `Outcome` reports
 what became of an assigned prompt.  `StageRequest` and `EnginePause` concern
 stage changes of engines, `CrashReport`, `PartsServed` and `PartQuarantined`
-parts of prompts that crash engines.  Any VM may be of another build or
+parts of prompts that crash engines, `DemandSample` and `DemandTaken` the
+duties of the system.  Any VM may be of another build or
 faulty, so every field is validated: a message with a field that makes no sense
 is not created.
 """
@@ -219,6 +220,28 @@
     term_s: float = attrs.field(validator=_positive_seconds)
 
 
+@attrs.frozen
+class DemandSample:
+    """The demand at a VM since its last sample.
+
+    A row stands for a service: its name, the requests that are open, and
+    those that ended, were late and were refused.
+    """
+
+    vm: str = attrs.field(validator=_text)
+    rows: tuple = attrs.field(
+        validator=_make_rows_validator(_text, _count, _count, _count, _count),
+        converter=tuple,
+    )
+
+
+@attrs.frozen
+class DemandTaken:
+    """The answer to a `DemandSample`, from the VM that takes it."""
+
+    vm: str = attrs.field(validator=_text)
+
+
 KINDS = (
     PlacementRequest,
     Assignment,
@@ -231,4 +254,6 @@
     CrashReport,
     PartsServed,
     PartQuarantined,
+    DemandSample,
+    DemandTaken,
 )
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -26,6 +26,7 @@
 sys.path.insert(0, str(ROOT / 'platform'))
 
 from adapter import bodies  # noqa: E402
+from adapter import cloud  # noqa: E402
 from adapter import headers  # noqa: E402
 from adapter import orders  # noqa: E402
 from adapter import store as stores  # noqa: E402
@@ -229,6 +230,7 @@
     return types.SimpleNamespace(
         wire=headers,
         orders=orders,
+        cloud=cloud,
         make_store=stores.Store,
         config_prefix=bodies.CONFIG_PREFIX,
         servers_prefix=bodies.SERVERS_PREFIX,
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -17,8 +17,6 @@
 from tests import test_silences
 from tests import workers
 
-from adapter import bodies  # noqa: I100
-
 KEY, OTHER_KEY, SECOND_KEY = 'k-first', 'k-other', 'k-second'
 
 
@@ -164,7 +162,7 @@
             'warning',
             lambda name, **fields: lines.append(logs.render(name, fields)),
         ):
-            found = bodies.decode_catalog(fleet.orjson.dumps(config))
+            found = fleet.bodies.decode_catalog(fleet.orjson.dumps(config))
         return found, lines
 
     def test_invalid_key_is_unknown_and_the_others_hold(self):
@@ -183,7 +181,7 @@
 
     def test_no_accounts_need_no_key_and_an_empty_table_lets_nobody_in(self):
         self.assertIsNone(
-            bodies.decode_catalog(
+            fleet.bodies.decode_catalog(
                 fleet.orjson.dumps(fleet.make_config(2))
             ).accounts
         )
