--- a/src/mangorock/mirror.py
+++ b/src/mangorock/mirror.py
@@ -49,6 +49,9 @@
 # mirror reaches; the rest is for the response and one lost watch.
 CONFIRM_PART = 0.8
 MIN_WATCH_WAIT_S = 0.2
+# Part of the delay after an event that follows one of keys without interest: a
+# change that is of interest must not wait for it.
+OTHER_KEYS_PART = 0.125
 
 
 @attrs.frozen
@@ -172,11 +175,14 @@
 
     What it has is at least as new as the store was at ``confirmed_s``, the
     time at which a call that was answered had been sent.  Times are of
-    `clocks.boot_clock`.
+    `clocks.boot_clock`.  Only events under ``batched_prefixes`` are followed
+    by others of interest, for which the next watch is delayed.
     """
 
     prefix: str
     timing: Timing
+    batched_prefixes: tuple = ('',)
+    is_batch_over: bool = False
     revision: int = 0
     is_listing: bool = True
     is_synced: bool = False
@@ -235,11 +241,16 @@
         for event in changes.events:
             self.revision = max(self.revision, event.revision)
         self.confirmed_s = sent_s
+        self.is_batch_over = not any(
+            event.key.startswith(self.batched_prefixes)
+            for event in changes.events
+        )
         return changes.events
 
     def batch_delay_s(self, jitter):
         """Return the delay after an event; ``jitter`` is in [0, 1)."""
-        return self.timing.batch_delay_s * (0.5 + 0.5 * jitter)
+        delay_s = self.timing.batch_delay_s * (0.5 + 0.5 * jitter)
+        return OTHER_KEYS_PART * delay_s if self.is_batch_over else delay_s
 
     def on_history_lost(self):
         """Start a new listing, as events may have been missed."""
--- a/src/mangorock/subscription.py
+++ b/src/mangorock/subscription.py
@@ -91,7 +91,8 @@
 
     async def _open(self):
         """Return the mirrors to follow."""
-        whole = mirror.Mirror(ALL_KEYS, self.timing)
+        prefixes = tuple(consumer.prefix for consumer in self.consumers)
+        whole = mirror.Mirror(ALL_KEYS, self.timing, prefixes)
         try:
             await mirror.step(whole, self.store, *self._handlers(whole))
             return [whole]
