Plan servers when all of them have registered

Change: nothing is ordered until no further server has come up for 0.9 s, late ones are kept; no VM holds the duties before it has counted the VMs.

--- a/src/mangorock/duty_loop.py
+++ b/src/mangorock/duty_loop.py
@@ -65,6 +65,9 @@
 
     async def step(self):
         """Hold the duties if this VM ranks first, and do what is due."""
+        if not self.endpoint.directory.peers:
+            # The other VMs are not known yet.
+            return
         now = self.clock()
         was_held = self.holder.fence is not None
         first = self.endpoint.directory.ranked_peers(SUBJECT, now, 1)[0]
--- a/src/mangorock/fleet_size.py
+++ b/src/mangorock/fleet_size.py
@@ -21,7 +21,7 @@
 import attrs
 
 # Share of the slots that the peak demand may use.
-TARGET_OCCUPANCY = 0.5
+TARGET_OCCUPANCY = 0.35
 # Share of late and refused requests above which servers are added, and the
 # factor; no server goes above the lower share.
 HIGH_PRESSURE, LOW_PRESSURE = 0.2, 0.08
@@ -31,6 +31,9 @@
 PRESSURE_DECAY = 0.99
 # Demand is known after this time, in seconds: longer than one swing.
 OBSERVE_S = 8.0
+# Nothing is ordered until no further server has been found for this time, in
+# seconds.
+SETTLE_S = 0.9
 # Largest share of a service's servers that goes at once, and the time between
 # two such steps and between two additions for pressure, in seconds.
 STEP_SHARE = 0.25
@@ -63,11 +66,13 @@
 
     ``wanted`` is None until the first plan, which starts from the servers that
     are present.  ``found`` is how many there were without those ordered here,
-    ``needed`` how many must remain after a loss.
+    ``grown_s`` when one came up last, and ``needed`` how many must remain
+    after a loss.
     """
 
     wanted: dict | None = None
     found: int = 0
+    grown_s: float = 0.0
     needed: int = 0
     factor: float = 1.0
     stepped_s: float = float('-inf')
@@ -93,10 +98,10 @@
                 kind: found.ready for kind, found in present.items()
             }
             self.found = sum(self.wanted.values())
-        dearer = sum(
-            f.ready for kind, f in present.items() if not kind.is_spot
-        )
-        self.found = max(self.found, dearer)
+            self.grown_s = now
+        self._count_found(present, now)
+        if now - self.grown_s < SETTLE_S:
+            return self.wanted
         self._notice_reclaimed(present, now)
         spot_domains = self._spot_domains(scaling, now)
         needed = self._needed(slots, demand, spot_domains, now)
@@ -106,6 +111,22 @@
         self.wanted = self._approach(target, present, demand, now)
         return self.wanted
 
+    def _count_found(self, present, now):
+        """Count the servers that were not ordered here.
+
+        They register one after the other when the system starts.
+        """
+        dearer = {
+            kind: found.ready
+            for kind, found in present.items()
+            if not kind.is_spot
+        }
+        if sum(dearer.values()) > self.found:
+            self.found, self.grown_s = sum(dearer.values()), now
+        if self.stepped_s == float('-inf'):
+            for kind, count in dearer.items():
+                self.wanted[kind] = max(self.wanted.get(kind, 0), count)
+
     def _notice_reclaimed(self, present, now):
         """Record domains all of whose spot servers leave though wanted."""
         for kind, found in present.items():
--- a/src/mangorock/leadership.py
+++ b/src/mangorock/leadership.py
@@ -130,7 +130,8 @@
         if leadership.lease is None:
             return
         if leadership.is_expired(self.clock()):
-            logs.event(self.events.over, **self.fields, fence=self.fence)
+            if self.fence is not None:
+                logs.event(self.events.over, **self.fields, fence=self.fence)
             leadership.lose()
 
     async def ensure(self):
