Send nothing to servers that leave or refuse for a time

Cause: a server that stops is known to a VM only by the store, which may be late or unreachable, and a server that refuses with a time gets requests all the same, as the outlier detector keeps half of the servers in use. Change: availability keeps both statements by incarnation and address. The sender notes them for every answer, also late answers to other requests, and checks them before and after it opens a connection. Candidates, usable servers, sources of a fetch, released handles, crash probes and stage orders heed them. If no server of a service wants requests, callers get 503 with the time until the first does, also while they wait.

--- a/src/mangorock/admission.py
+++ b/src/mangorock/admission.py
@@ -80,10 +80,12 @@
     """Raise the error of a request that must not reach a server now.
 
     Its key may have been removed since it was accepted, or a part of its
-    prompt been recognised as one that crashes engines.
+    prompt been recognised as one that crashes engines, or all servers may
+    have begun to refuse requests for a time.
     """
     _check_key(gateway, context)
     _check_quarantine(gateway, context)
+    _check_wanted(gateway, context)
 
 
 def _check_key(gateway, context):
@@ -97,6 +99,21 @@
         raise refusals.key_removed(context)
 
 
+def _check_wanted(gateway, context):
+    """Refuse a request rather than let it wait while no server wants any.
+
+    A response that was begun cannot be refused.
+    """
+    if context.reply.is_started:
+        return
+    service = context.service
+    wanted_in_s = gateway.registry.seconds_until_wanted(
+        service, time.monotonic()
+    )
+    if wanted_in_s is not None:
+        raise refusals.no_backend(context, gateway.retry_after_s(service))
+
+
 def _check_quarantine(gateway, context):
     found = gateway.quarantine.find(context.request.prompt, time.monotonic())
     if found is not None:
--- a/src/mangorock/client.py
+++ b/src/mangorock/client.py
@@ -239,6 +239,7 @@
 
     The connection of a cancelled, timed out or failed exchange is closed, so
     that late bytes of its response cannot reach another request.
+    ``on_response(address, status, raw_headers)`` gets each response to `call`.
     """
 
     def __init__(
@@ -254,6 +255,7 @@
         self.held = buffers.Buffers(max_held_bytes)
         self.idle_connections = collections.defaultdict(collections.deque)
         self.opened_count = 0
+        self.on_response = lambda address, status, raw_headers: None
 
     async def open(self, address, new_connection=False, max_idle_s=None):
         """Return an `Exchange` on a connection to ``address``.
@@ -356,6 +358,7 @@
         exchange = await self.open(address, new_connection)
         try:
             await exchange.send(method, path, headers, body)
+            self.on_response(address, exchange.status, exchange.raw_headers)
             return exchange.status, await exchange.read()
         finally:
             await self.release(exchange)
--- a/src/mangorock/context.py
+++ b/src/mangorock/context.py
@@ -63,9 +63,10 @@
         Every attempt counts as a send that may have run until its outcome
         is known.
         """
-        if isinstance(outcome, (sending.Unreachable, sending.Refused)):
+        unsent = sending.Unreachable, sending.Unsent
+        if isinstance(outcome, (*unsent, sending.Refused)):
             self.may_have_run = may_have_run_before
-        if isinstance(outcome, sending.Unreachable):
+        if isinstance(outcome, unsent):
             self.sends -= 1
             self.ledger.on_unreachable()
 
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -76,6 +76,7 @@
             budget.Budgets(settings.retry_terms),
             self.rng,
         )
+        self.client.on_response = self.gateway.sender.note_response
         self.ingress = ingresses.Ingress(
             self.gateway.handle,
             lambda: self.gateway.catalog.limits,
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -40,6 +40,10 @@
 RETRY_AFTER_RANGE_S = (0.8, 1.6)
 # Range of the factor on a known time until there is room.
 RETRY_AFTER_SPREAD = (0.9, 1.4)
+# Callers come back within this share of the time after which a server wants
+# requests, and not before it; within this time at least, in seconds.
+WANTED_SPREAD = 0.4
+MIN_SPREAD_S = 0.2
 
 
 @attrs.define
@@ -83,7 +87,12 @@
     def __attrs_post_init__(self):
         self.placer = placement.Placer(self.failure_domain)
         self.sender = sending.Sender(
-            self.client, self.wire, self.placer, self.outliers
+            self.client,
+            self.wire,
+            self.placer,
+            self.outliers,
+            self.registry,
+            self.metrics,
         )
 
     def set_vm_count(self, vm_count):
@@ -148,16 +157,27 @@
     async def _serve(self, context):
         service = self.catalog.services.get(context.service)
         if service is None:
-            raise refusals.no_backend(context, self.retry_after_s())
+            raise refusals.no_backend(
+                context, self.retry_after_s(context.service)
+            )
         match context.route.kind:
             case catalogs.Kind.STREAM:
                 return await generation.serve(self, context, service)
             case _:
                 return await self._serve_plain(context, service)
 
-    def retry_after_s(self):
-        """Return a random Retry-After value, in seconds."""
-        return self.rng.uniform(*RETRY_AFTER_RANGE_S)
+    def retry_after_s(self, service=''):
+        """Return a random Retry-After value, in seconds.
+
+        While all servers of ``service`` refuse for a time, it is a little
+        after the first of them wants requests.
+        """
+        now = time.monotonic()
+        wanted_in_s = self.registry.seconds_until_wanted(service, now)
+        if wanted_in_s is None:
+            return self.rng.uniform(*RETRY_AFTER_RANGE_S)
+        spread_s = max(MIN_SPREAD_S, WANTED_SPREAD * wanted_in_s)
+        return wanted_in_s + self.rng.uniform(0.0, spread_s)
 
     def spread(self, seconds):
         """Return a Retry-After value near ``seconds``.
@@ -239,7 +259,9 @@
     def _place_eligible(self, context, service):
         servers = self.eligible_servers(context)
         if not servers:
-            raise refusals.no_backend(context, self.retry_after_s())
+            raise refusals.no_backend(
+                context, self.retry_after_s(context.service)
+            )
         return self._place_plain(service, servers)
 
     def _place_plain(self, service, servers):
@@ -285,7 +307,9 @@
         admission.check_sendable(self, context)
         now = time.monotonic()
         if not context.ledger.send(now, is_prefill):
-            raise refusals.backend_refused(context, self.retry_after_s())
+            raise refusals.backend_refused(
+                context, self.retry_after_s(context.service)
+            )
         context.sent_at_s, context.begun_at_s = now, 0.0
         return traffic.Dispatch(
             server,
@@ -327,7 +351,9 @@
             wait.priority, time.monotonic(), wait.until_s, own_place
         )
         if ticket is None:
-            raise refusals.overloaded(context, self.retry_after_s())
+            raise refusals.overloaded(
+                context, self.retry_after_s(context.service)
+            )
         try:
             return await self._wait_in_queue(queue, ticket, place, context)
         finally:
@@ -338,7 +364,9 @@
         while True:
             wait_s = ticket.expires_at_s - time.monotonic()
             if wait_s <= 0:
-                raise refusals.overloaded(context, self.retry_after_s())
+                raise refusals.overloaded(
+                    context, self.retry_after_s(context.service)
+                )
             ticket.wakeup.clear()
             admission.check_sendable(self, context)
             if queue.is_first(ticket.priority, ticket):
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -225,7 +225,9 @@
         gateway, context = self.gateway, self.context
         servers = gateway.eligible_servers(context)
         if not servers and not self.relay.reply.is_started:
-            raise refusals.no_backend(context, gateway.retry_after_s())
+            raise refusals.no_backend(
+                context, gateway.retry_after_s(context.service)
+            )
         return self._place_on(servers)
 
     def _place_on(self, servers):
@@ -278,7 +280,8 @@
             return attrs.evolve(placed, prefill=None)
         self._notify_scheduler(messages.NOT_PREFILLED)
         raise refusals.backend_refused(
-            self.context, self.gateway.retry_after_s()
+            self.context,
+            self.gateway.retry_after_s(self.context.service),
         )
 
     def _make_demand(self):
@@ -361,6 +364,8 @@
 
     async def _request_prefill(self, server, affinity_server):
         gateway, context = self.gateway, self.context
+        if not gateway.registry.is_usable(server, time.monotonic()):
+            return None
         if self.prefill_attempts:
             gateway.metrics.count_retry(metrics.RetryReason.PREFILL)
         self.prefill_attempts += 1
@@ -368,13 +373,15 @@
             context,
             server,
             is_prefill=True,
-            fetch_from=affinity_server.address if affinity_server else '',
+            fetch_from=self._source_address(affinity_server),
         )
         wait_s = self._first_event_left_s() - DECODE_RESERVE_S
         if self.relay.reply.is_started:
             wait_s = context.left_s
         if wait_s <= 0:
-            raise refusals.no_answer_in_time(context, gateway.retry_after_s())
+            raise refusals.no_answer_in_time(
+                context, gateway.retry_after_s(context.service)
+            )
         try:
             async with curio.timeout_after(wait_s):
                 outcome = await gateway.sender.call(
@@ -385,21 +392,33 @@
             self._notify_scheduler(
                 messages.NOT_PREFILLED, failed=server.server_id
             )
-            raise refusals.no_answer_in_time(context, gateway.retry_after_s())
+            raise refusals.no_answer_in_time(
+                context, gateway.retry_after_s(context.service)
+            )
         match outcome:
             case sending.Whole(answer, body) if answer.is_success:
                 context.ledger.on_prefilled()
                 return gateway.wire.decode_handle(server.address, body)
-            case sending.Unreachable():
+            case sending.Unreachable() | sending.Unsent():
                 context.ledger.on_unreachable()
         context.tried.add(server.incarnation)
         await accounting.record_attempt(gateway, context, server, outcome)
-        if not isinstance(outcome, sending.Refused):
+        if not isinstance(outcome, (sending.Refused, sending.Unsent)):
             self._notify_scheduler(
                 messages.NOT_PREFILLED, failed=server.server_id
             )
         return None
 
+    def _source_address(self, server):
+        """Return the address to fetch a cached prefix from, '' for none.
+
+        A server may have become unusable since the request was placed.
+        """
+        is_usable = self.gateway.registry.is_usable
+        if server is None or not is_usable(server, time.monotonic()):
+            return ''
+        return server.address
+
     async def _decode(self, placed, handle):
         gateway, context = self.gateway, self.context
         server, affinity_server = placed.decode, placed.affinity_server
@@ -413,7 +432,9 @@
             context,
             server,
             handle=handle,
-            fetch_from=affinity_server.address if is_cached_elsewhere else '',
+            fetch_from=self._source_address(affinity_server)
+            if is_cached_elsewhere
+            else '',
             resume_after=self.relay.splitter.last_id,
         )
         limits = silence.limits_of_stream(
--- a/src/mangorock/isolation.py
+++ b/src/mangorock/isolation.py
@@ -103,6 +103,10 @@
         """Report a crash if the engine refuses connections."""
         try:
             await curio.sleep(GATHER_S)
+            # A server that stops as planned, or wants no requests, is not
+            # probed.
+            if not self.gateway.registry.is_usable(server, time.monotonic()):
+                return
             has_crashed = await self._refuses_connections(server)
         finally:
             del self.losses[server.incarnation]
--- a/src/mangorock/metrics.py
+++ b/src/mangorock/metrics.py
@@ -31,6 +31,7 @@
         self.client = client
         self.counts = {f'refused.{r.value}': 0 for r in errors.Reason}
         self.counts |= {f'retried.{r.value}': 0 for r in RetryReason}
+        self.counts |= {'server_leaving': 0, 'server_unwilling': 0}
 
     def add(self, name, count=1):
         """Increment the counter ``name`` by ``count``."""
--- a/src/mangorock/registry.py
+++ b/src/mangorock/registry.py
@@ -11,12 +11,16 @@
 - A server is draining: it gets no new work as soon as its entry says so.
 - An engine is about to change its stage: it gets no new work either
   (`Registry.pause`).
+- A server states in a response that it leaves or refuses for a time: it gets
+  no new work, whatever its entry says (`availability.Availability`).
 """
 
 import enum
 
 import attrs
 
+from mangorock import availability as availabilities
+
 # Shorter than the time for which a server that disappeared without notice
 # continues to serve, so that the fallback to lapsed servers never selects one
 # that has terminated.
@@ -75,6 +79,9 @@
     lapsed_since_s: dict = attrs.field(factory=dict)
     paused: dict = attrs.field(factory=dict)
     last_contact_s: float = 0.0
+    availability: availabilities.Availability = attrs.field(
+        factory=availabilities.Availability
+    )
 
     def put(self, server):
         """Store an entry; return whether it changed what was known."""
@@ -117,14 +124,16 @@
         ]
 
     def _is_paused(self, server, now):
+        return now < self._paused_until_s(server, now)
+
+    def _paused_until_s(self, server, now):
+        """Return the end of a server's pause, ``now`` if there is none."""
         incarnation, stage, until_s = self.paused.get(
             server.server_id, (None, None, now)
         )
-        return (
-            now < until_s
-            and incarnation == server.incarnation
-            and stage is server.stage
-        )
+        if incarnation != server.incarnation or stage is not server.stage:
+            return now
+        return until_s
 
     @property
     def incarnations(self):
@@ -142,6 +151,7 @@
             del self.lapsed_since_s[server_id]
             del self.servers[server_id]
             self.paused.pop(server_id, None)
+        self.availability.forget(self.servers.values(), now)
         return purged_ids
 
     def is_usable(self, server, now):
@@ -149,6 +159,12 @@
 
         A lapsed server is usable for `LAPSE_GRACE_S`.
         """
+        return self._is_present(
+            server, now
+        ) and self.availability.wants_requests(server, now)
+
+    def _is_present(self, server, now):
+        """Say whether the registry allows to use this incarnation."""
         known = self.servers.get(server.server_id)
         if (
             known is None
@@ -174,6 +190,39 @@
         present = [s for s in usable if s.server_id not in self.lapsed_since_s]
         return present or usable
 
+    def seconds_until_wanted(self, service, now):
+        """Return the time until a server of ``service`` wants requests.
+
+        Returns None unless servers refuse and none may get new work now.
+        """
+        if not self.availability.refusing or self.candidates(service, now):
+            return None
+        known = self.availability
+        staying = [
+            server
+            for server in self.servers.values()
+            if server.service == service
+            and self._is_present(server, now)
+            and not known.is_leaving(server)
+        ]
+        if not any(known.wanted_at_s(s, now) > now for s in staying):
+            return None
+        wanted_at_s = min(
+            max(known.wanted_at_s(s, now), self._paused_until_s(s, now))
+            for s in staying
+        )
+        return wanted_at_s - now
+
+    def server_at(self, address):
+        """Return the only server at an address, None if there is none."""
+        found = [
+            server
+            for server in self.servers.values()
+            if server.address == address
+            and server.server_id not in self.lapsed_since_s
+        ]
+        return found[0] if len(found) == 1 else None
+
 
 def _is_older(server, known):
     if server.started_ms != known.started_ms:
--- a/src/mangorock/retries.py
+++ b/src/mangorock/retries.py
@@ -40,13 +40,15 @@
         case sending.Unreachable() | sending.Unsent():
             context.unsent_attempts += 1
             if context.unsent_attempts > MAX_NOT_RUN_RETRIES:
-                raise refusals.no_backend(context, gateway.retry_after_s())
+                raise refusals.no_backend(
+                    context, gateway.retry_after_s(context.service)
+                )
             _reserve(gateway, context)
             gateway.metrics.count_retry(metrics.RetryReason.CONNECT)
         case sending.Refused():
             if context.sends > MAX_NOT_RUN_RETRIES:
                 raise refusals.backend_refused(
-                    context, gateway.retry_after_s()
+                    context, gateway.retry_after_s(context.service)
                 )
             _reserve(gateway, context)
             gateway.metrics.count_retry(metrics.RetryReason.REFUSED)
@@ -61,4 +63,6 @@
     """Reserve the next send, or raise the error that ends the request."""
     if not context.ledger.reserve(time.monotonic()):
         gateway.metrics.add('retry_budget_exhausted')
-        raise refusals.backend_refused(context, gateway.retry_after_s())
+        raise refusals.backend_refused(
+            context, gateway.retry_after_s(context.service)
+        )
--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -12,6 +12,7 @@
 import curio.errors
 import h11
 
+from mangorock import availability
 from mangorock import events
 from mangorock import logs
 from mangorock import silence
@@ -21,6 +22,8 @@
 # A request that must not run twice reuses an idle connection only if it was
 # used so recently that the server is unlikely to have closed it.
 MAX_UNSAFE_IDLE_S = 1.0
+# The error of an attempt that was not made.
+UNWANTED = 'the server wants no requests'
 # The error of an attempt that was given up because the server was silent.
 SILENT = 'silent'
 
@@ -76,13 +79,16 @@
 class Sender:
     """Sends requests to backend servers and records how they went.
 
-    The load goes to ``placer``, failures and successes go to ``outliers``.
+    The load goes to ``placer``, failures and successes go to ``outliers``,
+    and what servers say of leaving or refusing for a time to ``registry``.
     """
 
     client: object
     wire: object
     placer: object
     outliers: object
+    registry: object
+    metrics: object
 
     async def call(self, request, dispatch, limits):
         """Send the request, read the complete answer, return the outcome.
@@ -90,7 +96,7 @@
         ``limits.first_event_s`` is the limit on the whole answer.
         """
         exchange = await self._open_exchange(dispatch, limits.may_repeat)
-        if isinstance(exchange, Unreachable):
+        if isinstance(exchange, (Unreachable, Unsent)):
             return exchange
         timer = silence.SilenceTimer(limits.first_event_s, limits.may_give_up)
         try:
@@ -117,7 +123,7 @@
         ``limits`` counts as broken.
         """
         exchange = await self._open_exchange(dispatch, limits.may_repeat)
-        if isinstance(exchange, Unreachable):
+        if isinstance(exchange, (Unreachable, Unsent)):
             return exchange
         timer = silence.SilenceTimer(limits.first_event_s, limits.may_give_up)
         try:
@@ -162,11 +168,13 @@
             raise InvalidAnswer('the stream ended inside an event')
 
     async def _open_exchange(self, dispatch, may_repeat):
+        if not self._wants_requests(dispatch.server):
+            return Unsent(UNWANTED)
         self.placer.on_send(dispatch.server)
         self.outliers.on_send(dispatch.server)
         idle_s = None if may_repeat else MAX_UNSAFE_IDLE_S
         try:
-            return await self.client.open(
+            exchange = await self.client.open(
                 dispatch.server.address, max_idle_s=idle_s
             )
         except OSError as exc:
@@ -176,6 +184,55 @@
         except BaseException:
             self._release_server(dispatch)
             raise
+        # Connecting takes up to some seconds, in which another response may
+        # have told that the server wants no requests.
+        if not self._wants_requests(dispatch.server):
+            await self._close_exchange(exchange, dispatch)
+            return Unsent(UNWANTED)
+        return exchange
+
+    def _wants_requests(self, server):
+        return self.registry.availability.wants_requests(
+            server, time.monotonic()
+        )
+
+    def _note_availability(self, server, answer):
+        """Record what a server says of leaving or refusing for a time."""
+        known, now = self.registry.availability, time.monotonic()
+        if answer.is_leaving and known.on_leaving(server):
+            self.metrics.add('server_leaving')
+            logs.event(
+                'server_leaving',
+                server=server.server_id,
+                service=server.service,
+                started_ms=server.started_ms,
+            )
+        stated_s = answer.refusal_s
+        if stated_s is None:
+            return
+        used_s = availability.bound_refusal_s(stated_s)
+        if used_s != stated_s and known.is_report_due(server, now):
+            logs.event(
+                'retry_after_invalid',
+                server=server.server_id,
+                stated_s=stated_s,
+                used_s=used_s,
+            )
+        if known.on_refusal(server, stated_s, now):
+            self.metrics.add('server_unwilling')
+            logs.event(
+                'server_unwilling',
+                server=server.server_id,
+                service=server.service,
+                seconds=used_s,
+            )
+
+    def note_response(self, address, status, raw_headers):
+        """Record what a server says in a response to another call."""
+        server = self.registry.server_at(address)
+        if server is not None:
+            answer = self.wire.decode_answer(status, raw_headers)
+            self._note_availability(server, answer)
 
     async def _send_and_read_head(self, exchange, request, dispatch, timer):
         """Send the request and return the `traffic.Answer` that belongs to it.
@@ -188,7 +245,7 @@
             request.method, request.target, headers, request.body
         )
         await timer.read(exchange.read_head)
-        answer = self._decode_head(exchange)
+        answer = self._read_answer(exchange, dispatch)
         check_origin(answer, exchange.is_reused)
         foreign_answers = 0
         while answer.request_id not in ('', request.request_id):
@@ -206,7 +263,7 @@
             await timer.read(exchange.read)
             exchange.expect_response()
             await timer.read(exchange.read_head)
-            answer = self._decode_head(exchange)
+            answer = self._read_answer(exchange, dispatch)
             check_origin(answer, True)
         now = time.monotonic()
         server, report = dispatch.server, answer.load
@@ -218,8 +275,11 @@
             check_success(answer)
         return answer
 
-    def _decode_head(self, exchange):
-        return self.wire.decode_answer(exchange.status, exchange.raw_headers)
+    def _read_answer(self, exchange, dispatch):
+        """Decode the head of an answer, also of one to another request."""
+        answer = self.wire.decode_answer(exchange.status, exchange.raw_headers)
+        self._note_availability(dispatch.server, answer)
+        return answer
 
     def _broken_outcome(self, dispatch, error):
         self.record_failure(dispatch.server)
@@ -241,6 +301,10 @@
 
     async def free_handle(self, handle):
         """Tell an engine to drop a prefilled prompt that is not needed."""
+        server = self.registry.server_at(handle.address)
+        if server is not None and not self._wants_requests(server):
+            # The engine drops it when the handle expires.
+            return
         method, path = self.wire.encode_handle_release(handle)
         try:
             async with curio.timeout_after(self.client.connect_timeout_s):
--- a/src/mangorock/staging.py
+++ b/src/mangorock/staging.py
@@ -171,6 +171,8 @@
         server = self.registry.servers.get(server_id)
         if server is None or server.stage is stage:
             return None
+        if not self.registry.is_usable(server, now):
+            return None
         ordered_s = self.order_times_s.get(server.incarnation, float('-inf'))
         is_settled = now - ordered_s >= stages.SETTLE_S
         if now - requested_s > REQUEST_TTL_S or not is_settled:
@@ -204,7 +206,8 @@
         holder = self.leaderships[service]
         self.announce_away(service, change.server.server_id, ENGINE_PAUSE_S)
         await curio.sleep(ANNOUNCE_DELAY_S)
-        if not holder.may_act():
+        is_usable = self.registry.is_usable(change.server, self.clock())
+        if not holder.may_act() or not is_usable:
             return
         self.order_times_s[change.server.incarnation] = self.clock()
         order = Order(change, self.vm, holder.fence, state.orders_taken)
--- a/src/mangorock/traffic.py
+++ b/src/mangorock/traffic.py
@@ -142,6 +142,9 @@
     the answer carries the server's signature, ``has_not_run`` that the
     server states that it did not run the request, ``is_encoded`` that the
     body has a content encoding and so is not as the server wrote it.
+    ``is_leaving`` says that the server stops soon, ``retry_after_s`` for how
+    long it wants no requests: None if it does not say, NaN if what it says
+    is not a number.
     """
 
     status: int
@@ -151,6 +154,13 @@
     has_not_run: bool = False
     is_encoded: bool = False
     load: LoadReport | None = None
+    is_leaving: bool = False
+    retry_after_s: float | None = None
+
+    @property
+    def refusal_s(self):
+        """Return for how long the server refuses, None if it does not."""
+        return self.retry_after_s if self.status == 503 else None
 
     @property
     def misstates_not_run(self):
