Check configurations of the users' platform in mangorockctl

Cause: check knew only the tables of the product; a fault in a configuration of the platform showed in the log lines of the VMs after it was in force.

--- a/src/mangorock/ctl.py
+++ b/src/mangorock/ctl.py
@@ -3,7 +3,7 @@
 It calls the administration API of a daemon; any daemon will do.  Commands::
 
     mangorockctl show [routes|pools [NAME]]
-    mangorockctl check FILE
+    mangorockctl check FILE [--boot SETTINGS]
     mangorockctl diff FILE
     mangorockctl apply FILE
     mangorockctl set TABLE NAME FIELD=JSON ...
@@ -12,6 +12,8 @@
     mangorockctl status
     mangorockctl history
 
+`check` also takes a configuration of the users' platform, without a daemon.
+
 Exit status: 0 success, 1 refused, 2 usage error, 3 conflict with another
 change, 4 outcome unknown, 5 not in force on all daemons before the timeout.
 """
@@ -29,6 +31,7 @@
 import orjson
 
 from mangorock import client
+from mangorock import config_command
 from mangorock import rows
 from mangorock import tables
 
@@ -83,6 +86,12 @@
     flags.DEFINE_boolean(
         'wait', False, 'wait until the change is in force on all live daemons'
     )
+    flags.DEFINE_string(
+        'boot',
+        os.environ.get('MANGOROCK_BOOT', ''),
+        'settings file of a VM of the platform, to compare a checked file '
+        'with the version in its store',
+    )
     flags.DEFINE_float('timeout_s', 15.0, 'maximum time to wait in seconds')
 
 
@@ -261,9 +270,30 @@
 
 
 async def do_check(api, arguments):
-    """Validate the tables in a file without applying them."""
-    await api.call('POST', '/v1/tables/check', read_file(arguments[0]))
-    print('valid')
+    """Validate a file without applying it.
+
+    A configuration of the users' platform is checked here, tables by the
+    daemon.
+    """
+    data = read_file(arguments[0])
+    if not config_command.is_configuration(data):
+        await api.call('POST', '/v1/tables/check', data)
+        print('valid')
+        return
+    try:
+        report = await config_command.check(orjson.dumps(data), FLAGS.boot)
+    except ModuleNotFoundError as exc:
+        raise CtlError(
+            f'{exc}; run mangorockctl from a copy that has the directory '
+            f'{config_command.ADAPTER_DIRECTORY}',
+            EXIT_USAGE,
+        )
+    if FLAGS.json:
+        print_json(config_command.to_data(report))
+    else:
+        print('\n'.join(config_command.to_text(report)))
+    if not report.is_valid:
+        raise CtlError(f'{arguments[0]}: {len(report.faults)} faults')
 
 
 async def do_diff(api, arguments):
