Need fewer spot servers for a loss; know the other VMs from the watch

Change: the list of VMs comes with the watch that exists; the duties begin 1.5 s after the start. Of the needed servers 0.6 must remain after the loss of one domain's spot ones, so that one domain with spot servers still carries its part.

--- a/src/mangorock/duty_loop.py
+++ b/src/mangorock/duty_loop.py
@@ -21,6 +21,8 @@
 KEY = 'mangorock/duties'
 INTERVAL_S = 0.25
 SAMPLE_INTERVAL_S = 1.0
+# Time until the other VMs, which start at the same time, are known.
+START_S = 1.5
 # Time between two attempts to acquire the lease while another VM holds it.
 ACQUIRE_INTERVAL_S = 1.0
 # A VM that ranks first but did not answer for this long is not waited for.
@@ -49,6 +51,7 @@
     heard_s: dict = attrs.field(factory=dict)
     sampled_s: float = float('-inf')
     tried_s: float = float('-inf')
+    started_s: float | None = None
 
     async def run(self):
         """Sample the demand and do what is due, for ever."""
@@ -65,10 +68,11 @@
 
     async def step(self):
         """Hold the duties if this VM ranks first, and do what is due."""
-        if not self.endpoint.directory.peers:
-            # The other VMs are not known yet.
-            return
         now = self.clock()
+        if self.started_s is None:
+            self.started_s = now
+        if now - self.started_s < START_S:
+            return
         was_held = self.holder.fence is not None
         first = self.endpoint.directory.ranked_peers(SUBJECT, now, 1)[0]
         if first is not None and not (
--- a/src/mangorock/fleet_size.py
+++ b/src/mangorock/fleet_size.py
@@ -9,9 +9,9 @@
 * A demand that swings within seconds: its peak of many seconds counts, servers
   go in steps, and none while answers are late or requests refused.
 * Spot servers that are reclaimed: what remains without those of any one
-  failure domain still carries the demand, and while a domain has none to
-  order, the others have more.  Where only one domain has spot servers, the
-  other kind carries the demand.
+  failure domain still carries the peak, and while a domain has none to order,
+  the others have more.  Where only one domain has spot servers, the other kind
+  makes up what must remain.
 
 `FleetPlanner` is a state machine without I/O.
 """
@@ -21,7 +21,11 @@
 import attrs
 
 # Share of the slots that the peak demand may use.
-TARGET_OCCUPANCY = 0.35
+TARGET_OCCUPANCY = 0.3
+# Share of the needed servers that must remain when a failure domain loses all
+# of its spot servers: they carry the peak at a higher occupancy until others
+# have started.
+REMAINING_SHARE = 0.6
 # Share of late and refused requests above which servers are added, and the
 # factor; no server goes above the lower share.
 HIGH_PRESSURE, LOW_PRESSURE = 0.2, 0.08
@@ -66,8 +70,8 @@
 
     ``wanted`` is None until the first plan, which starts from the servers that
     are present.  ``found`` is how many there were without those ordered here,
-    ``grown_s`` when one came up last, and ``needed`` how many must remain
-    after a loss.
+    ``grown_s`` when one came up last, and ``needed`` how many there should
+    be.
     """
 
     wanted: dict | None = None
@@ -104,7 +108,7 @@
             return self.wanted
         self._notice_reclaimed(present, now)
         spot_domains = self._spot_domains(scaling, now)
-        needed = self._needed(slots, demand, spot_domains, now)
+        needed = self._needed(slots, demand, now)
         if abs(needed - self.needed) > DEAD_BAND * self.needed:
             self.needed = needed
         target = _cheapest(scaling, self.needed, spot_domains)
@@ -142,15 +146,10 @@
             and self.no_spot_until_s.get(domain, now) <= now
         ]
 
-    def _needed(self, slots, demand, spot_domains, now):
-        """Return the servers that must remain after any one loss.
-
-        Without a known demand there are as many as were found.
-        """
+    def _needed(self, slots, demand, now):
+        """Return how many servers the demand needs, as found if unknown."""
         if not _is_known(demand):
-            parts = max(2, len(spot_domains))
-            remaining = (parts - 1) / parts if len(spot_domains) > 1 else 1.0
-            return math.ceil(self.found * remaining)
+            return self.found
         if demand.pressure >= HIGH_PRESSURE:
             if now - self.pressed_s >= STEP_INTERVAL_S:
                 self.pressed_s = now
@@ -176,16 +175,13 @@
         if not is_calm or now - self.stepped_s < STEP_INTERVAL_S:
             return wanted
         ready = {kind: found.ready for kind, found in present.items()}
-        least = 0 if _is_known(demand) else self.found
         budget = self._step(sum(ready.values()), demand)
         for kind in sorted(wanted, key=lambda kind: kind.is_spot):
             surplus = wanted[kind] - target.get(kind, 0)
             while surplus > 0 and budget > 0:
                 left = wanted[kind] - 1
                 after = ready | {kind: min(ready.get(kind, 0), left)}
-                if _surviving(after) < self.needed:
-                    break
-                if sum(after.values()) < least:
+                if not _suffices(after, self.needed):
                     break
                 ready, wanted[kind] = after, left
                 surplus, budget = surplus - 1, budget - 1
@@ -207,25 +203,37 @@
     return demand is not None and demand.observed_s >= OBSERVE_S
 
 
-def _surviving(counts):
-    """Return how many servers remain when one domain's spot ones go."""
+def _remaining(needed):
+    """Return how many of the needed servers must remain after a loss."""
+    return math.ceil(REMAINING_SHARE * needed)
+
+
+def _suffices(counts, needed):
+    """Return whether the servers carry the demand, also after a loss."""
+    total = sum(counts.values())
     spot = [count for kind, count in counts.items() if kind.is_spot]
-    return sum(counts.values()) - max(spot, default=0)
+    lost = max(spot, default=0)
+    return total >= needed and total - lost >= _remaining(needed)
 
 
 def _cheapest(scaling, needed, spot_domains):
-    """Return the cheapest counts of which ``needed`` survive one loss.
+    """Return the cheapest counts that `_suffices`.
 
-    With spot servers in k failure domains, k / (k - 1) times as many are
-    needed as without a loss.  Those of one domain alone may all be lost, so
-    that they carry nothing.
+    Spot servers are divided evenly among the failure domains that have some.
+    Those of one domain may all be lost, so that with one such domain the
+    other kind makes up what must remain.
     """
-    others = max(0, len(spot_domains) - 1)
-    most = min(scaling.max_servers, math.ceil(needed / max(1, others)))
-    for each in range(most if others else 0, -1, -1):
+    domains = len(spot_domains)
+    if domains > 1:
+        remaining = _remaining(needed) / (domains - 1)
+        most = math.ceil(max(needed / domains, remaining))
+    else:
+        most = domains * (needed - _remaining(needed))
+    for each in range(min(most, scaling.max_servers), -1, -1):
         counts = {Kind(domain, True): each for domain in spot_domains}
-        missing = max(0, needed - each * others)
-        if each == 0 or missing <= _room(scaling, counts):
+        held = each * max(0, domains - 1)
+        missing = max(needed - each * domains, _remaining(needed) - held, 0)
+        if missing <= _room(scaling, counts):
             break
     _add_others(scaling, counts, missing)
     return counts
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -89,6 +89,7 @@
         self.was_ready = False
         self.store = None
         self.directory = None
+        self.vm_items = {}
         self.tasks = []
         self.subscription = None
 
@@ -136,6 +137,12 @@
                     servers.on_listing,
                     servers.on_events,
                 ),
+                subscription.Consumer(
+                    presence.PREFIX,
+                    self._apply_vm_listing,
+                    self._apply_vm_events,
+                    is_optional=True,
+                ),
             ],
             self.gateway.keys.on_confirmed,
         )
@@ -165,6 +172,7 @@
             )
             value = consultation.encode_peer(own_peer)
             self.directory = consultation.Directory(own_peer)
+            self._update_directory()
             self.gateway.scheduler_endpoint = consultation.SchedulerEndpoint(
                 self.directory,
                 self.gateway.scheduler,
@@ -241,11 +249,31 @@
 
     def _apply_vms(self, vms, items):
         self.gateway.set_vm_count(vms)
-        if self.directory is not None:
-            found = map(consultation.decode_peer, items)
-            self.directory.update_peers(
-                [peer for peer in found if peer is not None]
-            )
+        if not self.subscription.has_all_keys:
+            self._apply_vm_listing(items)
+
+    def _apply_vm_listing(self, items):
+        """Replace the other VMs."""
+        self.vm_items = {item.key: item for item in items}
+        self._update_directory()
+
+    def _apply_vm_events(self, events):
+        for event in events:
+            match event:
+                case mirror.Item():
+                    self.vm_items[event.key] = event
+                case mirror.Removal():
+                    self.vm_items.pop(event.key, None)
+        if events:
+            self._update_directory()
+
+    def _update_directory(self):
+        if self.directory is None:
+            return
+        found = map(consultation.decode_peer, self.vm_items.values())
+        self.directory.update_peers(
+            [peer for peer in found if peer is not None]
+        )
 
     async def spawn(self, function, *args):
         """Start a task that `close` cancels, and return it."""
--- a/src/mangorock/subscription.py
+++ b/src/mangorock/subscription.py
@@ -28,12 +28,14 @@
     """Receives what is stored under ``prefix``.
 
     ``on_listing(items)`` gets a whole listing, ``on_events(events)`` each
-    batch of changes, which may be empty.
+    batch of changes, which may be empty.  One with ``is_optional`` is not
+    worth a watch of its own.
     """
 
     prefix: str
     on_listing: object
     on_events: object
+    is_optional: bool = False
 
 
 class Subscription:
@@ -63,6 +65,11 @@
             )
         return self.has_synced
 
+    @property
+    def has_all_keys(self):
+        """Return whether optional consumers are served, too."""
+        return any(found.prefix == ALL_KEYS for found in self.mirrors)
+
     @property
     def revision(self):
         """Return the revision up to which all changes were received."""
@@ -91,7 +98,8 @@
 
     async def _open(self):
         """Return the mirrors to follow."""
-        prefixes = tuple(consumer.prefix for consumer in self.consumers)
+        required = [c for c in self.consumers if not c.is_optional]
+        prefixes = tuple(consumer.prefix for consumer in required)
         whole = mirror.Mirror(ALL_KEYS, self.timing, prefixes)
         try:
             await mirror.step(whole, self.store, *self._handlers(whole))
@@ -100,7 +108,7 @@
             logs.event('store_followed_by_prefix', error=exc.message)
         return [
             mirror.Mirror(consumer.prefix, self.timing)
-            for consumer in self.consumers
+            for consumer in required
         ]
 
     async def _follow(self, found):
