Learn how many requests a server takes before its latency grows

Cause: servers of one service differ in speed and some slow down long before their slots are used; placement assumed half of the slots for all of them. Change: the module capacity learns the knee from latency and pace against the reported load.

--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -440,7 +440,7 @@
         found = self.schedulers(pace.service)
         if found is not None:
             servers = self.servers(pace.service)
-            found.record_pace(pace, servers)
+            found.record_pace(pace, servers, time.monotonic())
 
     def _record_outcome(self, outcome):
         found = self.schedulers(outcome.service)
--- a/src/mangorock/engines.py
+++ b/src/mangorock/engines.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from mangorock import capacity
+
 # Start values of the learnt time to prefill a prompt on an average engine; a
 # decode engine prefills beside its streams and so at half the speed.
 START_OVERHEAD_S = 0.015
@@ -271,6 +273,7 @@
     best_gap_s: float = float('inf')
     handover_s: float = START_HANDOVER_S
     stream_starts_s: list = attrs.field(factory=list)
+    learned: capacity.Capacity = attrs.field(factory=capacity.Capacity)
 
     def queue_s(self, now):
         """Return the expected seconds until its queue is empty."""
@@ -320,6 +323,19 @@
                 BEST_GAP_GROWTH * self.best_gap_s, seconds / gaps
             )
 
+    def learn_capacity(self, events, seconds, now):
+        """Learn how many streams it takes before their gaps grow."""
+        if events > 1:
+            streams = max(1, self.count_streams(now))
+            gap_s = seconds / (events - 1)
+            self.learned.observe(streams, gap_s, self.slots, now)
+
+    def usable_slots(self, now):
+        """Return the streams that do not slow each other down, as learned."""
+        if not capacity.IS_ENABLED:
+            return self.slots
+        return self.learned.limit(self.slots, now)
+
     def update_load(self, running, slots):
         """Record the load that the engine reported."""
         self.running, self.slots = running, slots
--- a/src/mangorock/exposition.py
+++ b/src/mangorock/exposition.py
@@ -26,6 +26,12 @@
             ['name'],
             registry=self.registry,
         )
+        self.gauges = prometheus_client.Gauge(
+            'mangorock_level',
+            'Current values, by name.',
+            ['name'],
+            registry=self.registry,
+        )
         self.histogram = prometheus_client.Histogram(
             'mangorock_seconds',
             'How long it took, by name.',
@@ -41,6 +47,10 @@
         self.counts[name] = self.counts.get(name, 0) + count
         self.counter.labels(name).inc(count)
 
+    def gauge(self, name, value):
+        """Set the current value of ``name``."""
+        self.gauges.labels(name).set(value)
+
     def timing(self, name, seconds):
         """Add a duration in seconds to the histogram ``name``."""
         self.histogram.labels(name).observe(seconds)
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -15,6 +15,7 @@
 from mangorock import accounting
 from mangorock import admission
 from mangorock import budget
+from mangorock import capacity_reports
 from mangorock import catalog as catalogs
 from mangorock import demand as demands
 from mangorock import errors
@@ -216,6 +217,9 @@
         self.budgets.forget_idle(now)
         for found in self.schedulers.values():
             found.forget(incarnations)
+        capacity_reports.report(
+            self.placer, self.schedulers.values(), self.metrics, now
+        )
 
     async def _serve_plain(self, context, service):
         while True:
--- /dev/null
+++ b/src/mangorock/loads.py
@@ -0,0 +1,127 @@
+"""The load of backend servers as seen from this VM."""
+
+import attrs
+
+from mangorock import capacity
+
+# How long the load reported by a server is used.
+REPORT_VALID_S = 1.0
+LATENCY_WEIGHT = 0.2  # Weight of the newest latency in the moving average.
+INITIAL_LATENCY_S = 0.05  # Assumed until a server's first answer.
+# Added to the latency of a server whose answer failed, because the request
+# had to be retried or was lost; halves every second.
+FAILURE_PENALTY_S = 0.5
+GAP_WEIGHT = 0.3  # Weight of the newest gap in the moving average.
+
+
+@attrs.define
+class ServerLoad:
+    """The load of one server incarnation, as seen from this VM.
+
+    ``answers`` is what is learned from the latency of answers, ``streams``
+    from the gaps between events of streams.
+    """
+
+    in_flight: int = 0
+    backlog_tokens: int = 0
+    prompt_tokens: float = 1000.0
+    gap_s: float = 0.0
+    gap_observed_s: float = 0.0
+    latency_s: float = 0.0
+    failure_penalty_s: float = 0.0
+    failed_at_s: float = 0.0
+    report: object = None
+    reported_s: float = 0.0
+    answers: capacity.Capacity = attrs.field(factory=capacity.Capacity)
+    streams: capacity.Capacity = attrs.field(factory=capacity.Capacity)
+
+    def on_report(self, report, now):
+        """Record the load that the server reported, None if it did not."""
+        if report is None:
+            return
+        self.report, self.reported_s = report, now
+        self.answers.on_pace(report.pace, now)
+
+    def on_answer(self, report, latency_s, now, is_plain):
+        """Record an answer; ``is_plain`` says that its latency is comparable.
+
+        That of an engine depends on the prompt.
+        """
+        own_s = latency_s
+        if self.latency_s:
+            latency_s = (
+                LATENCY_WEIGHT * latency_s
+                + (1 - LATENCY_WEIGHT) * self.latency_s
+            )
+        self.latency_s = latency_s
+        self.on_report(report, now)
+        if report is not None:
+            learned = self.answers if is_plain else self.streams
+            own_s = own_s if is_plain else None
+            load = self._reported_load()
+            learned.observe(load, own_s, report.slots, now, report.pace)
+
+    def on_gap(self, gap_s, now):
+        """Record the gap between two events of a stream."""
+        self.gap_s += GAP_WEIGHT * (gap_s - self.gap_s)
+        self.gap_observed_s = now
+        if self.has_report(now):
+            load, slots = self._reported_load(), self.report.slots
+            self.streams.observe(load, gap_s, slots, now)
+
+    def on_failure(self, now):
+        """Record a failed or refused request."""
+        self.failure_penalty_s = FAILURE_PENALTY_S + self.penalty_s(now)
+        self.failed_at_s = now
+
+    def penalty_s(self, now):
+        """Return what is added to the latency for earlier failures."""
+        return self.failure_penalty_s * 0.5 ** (now - self.failed_at_s)
+
+    def has_report(self, now):
+        """Return whether there is a report that is still valid."""
+        return (
+            self.report is not None and now - self.reported_s < REPORT_VALID_S
+        )
+
+    def _reported_load(self):
+        # A report can't be lower than what this VM itself has sent.
+        report = self.report
+        return max(1, self.in_flight, report.running + report.waiting)
+
+    def plain_cost_s(self, now):
+        """Return the expected time of one more plain request."""
+        queue = self.in_flight + 1
+        if self.has_report(now):
+            report = self.report
+            running = report.running + report.waiting
+            beyond = max(0, running - report.slots / 2)
+            # A learned limit replaces the assumed one where it is lower.
+            queue += max(
+                beyond,
+                capacity.excess(running, report.slots, self.answers, now),
+            )
+        latency_s = self.latency_s or INITIAL_LATENCY_S
+        if capacity.IS_ENABLED:
+            latency_s *= self.answers.pace_factor(now)
+        return queue * (latency_s + self.penalty_s(now))
+
+    def expected_gap_s(self, now):
+        """Return the expected gap between events of a stream.
+
+        An observation counts in full for one second, then its weight halves
+        every second.
+        """
+        age_s = now - self.gap_observed_s
+        gap_s = self.gap_s * 0.5 ** max(0.0, age_s - 1.0)
+        if capacity.IS_ENABLED:
+            gap_s *= self.answers.pace_factor(now)
+        return gap_s
+
+    def excess_streams(self, now):
+        """Return by how many one more stream exceeds the learned limit."""
+        if not self.has_report(now):
+            return 0.0
+        return capacity.excess(
+            self._reported_load(), self.report.slots, self.streams, now
+        )
--- a/src/mangorock/metrics.py
+++ b/src/mangorock/metrics.py
@@ -38,6 +38,11 @@
         if self.client is not None:
             self.client.incr(name, count)
 
+    def gauge(self, name, value):
+        """Set the current value of ``name``."""
+        if self.client is not None:
+            self.client.gauge(name, value)
+
     def count_refusal(self, reason):
         """Increment the counter of a refusal reason."""
         self.add(f'refused.{reason.value}')
--- a/src/mangorock/placement.py
+++ b/src/mangorock/placement.py
@@ -18,6 +18,7 @@
 import attrs
 
 from mangorock import engines
+from mangorock import loads
 from mangorock import registry
 from mangorock import rendezvous
 
@@ -43,7 +44,8 @@
 CACHE_MISS_PENALTY_S = 0.3
 # Gaps between events that a generation of ordinary length waits for.
 EXPECTED_GAPS = 1.0
-GAP_WEIGHT = 0.3  # Weight of the newest gap in the moving average.
+# Added to the expected wait for each stream beyond an engine's learned limit.
+EXCESS_STREAM_S = 0.05
 # Share of the longest allowed gap between events of a stream that a decode
 # engine may spend on the prefill of one prompt.
 DIRECT_GAP_SHARE = 0.4
@@ -56,31 +58,8 @@
 # itself: there are many, and they hardly add to an engine's queue.
 LONG_GAP_SHARE = 0.2
 PROMPT_TOKENS_WEIGHT = 0.1  # Weight of the newest prompt in the average.
-# How long the load reported by a plain server is used.
-REPORT_VALID_S = 1.0
 # Factor on the cost of a server in another failure domain.
 CROSS_DOMAIN_FACTOR = 1.15
-LATENCY_WEIGHT = 0.2  # Weight of the newest latency in the moving average.
-INITIAL_LATENCY_S = 0.05  # Assumed until a server's first answer.
-# Added to the latency of a server whose answer failed, because the request
-# had to be retried or was lost; halves every second.
-FAILURE_PENALTY_S = 0.5
-
-
-@attrs.define
-class ServerLoad:
-    """The load of one server incarnation, as seen from this VM."""
-
-    in_flight: int = 0
-    backlog_tokens: int = 0
-    prompt_tokens: float = 1000.0
-    gap_s: float = 0.0
-    gap_observed_s: float = 0.0
-    latency_s: float = 0.0
-    failure_penalty_s: float = 0.0
-    failed_at_s: float = 0.0
-    report: object = None
-    reported_s: float = 0.0
 
 
 @attrs.frozen
@@ -149,10 +128,10 @@
     route_tokens: dict = attrs.field(factory=dict)
 
     def load(self, server):
-        """Return the `ServerLoad` of a server's current incarnation."""
+        """Return the `loads.ServerLoad` of a server's current incarnation."""
         found = self.loads.get(server.incarnation)
         if found is None:
-            found = self.loads[server.incarnation] = ServerLoad()
+            found = self.loads[server.incarnation] = loads.ServerLoad()
         return found
 
     def on_send(self, server):
@@ -165,26 +144,15 @@
 
     def on_answer(self, server, report, latency_s, now):
         """Record an answer's latency and load ``report`` (None: no report)."""
-        load = self.load(server)
-        if load.latency_s:
-            latency_s = (
-                LATENCY_WEIGHT * latency_s
-                + (1 - LATENCY_WEIGHT) * load.latency_s
-            )
-        load.latency_s = latency_s
-        self._record_report(server, report, now)
-
-    def _record_report(self, server, report, now):
-        if report is not None:
-            load = self.load(server)
-            load.report, load.reported_s = report, now
+        is_plain = server.stage is None
+        self.load(server).on_answer(report, latency_s, now, is_plain)
 
     def on_refusal(self, server, report, now):
         """Record that a server refused a request, and its load ``report``.
 
         The time that it took is not that of an answer.
         """
-        self._record_report(server, report, now)
+        self.load(server).on_report(report, now)
         self.on_failure(server, now)
 
     def on_failure(self, server, now):
@@ -192,15 +160,7 @@
 
         Without the penalty a server that fails at once would look fast.
         """
-        load = self.load(server)
-        load.failure_penalty_s = FAILURE_PENALTY_S + self._failure_penalty_s(
-            load, now
-        )
-        load.failed_at_s = now
-
-    @staticmethod
-    def _failure_penalty_s(load, now):
-        return load.failure_penalty_s * 0.5 ** (now - load.failed_at_s)
+        self.load(server).on_failure(now)
 
     def forget(self, incarnations):
         """Drop idle loads of incarnations that are not in ``incarnations``."""
@@ -211,6 +171,15 @@
         }
         self.model.forget(incarnations)
 
+    def learned_limits(self):
+        """Yield (incarnation, slots, `capacity.Capacity`) where known."""
+        for incarnation, load in self.loads.items():
+            if load.report is None:
+                continue
+            for learned in (load.answers, load.streams):
+                if learned.is_notable:
+                    yield incarnation, load.report.slots, learned
+
     def place_plain(self, servers, max_connections, now):
         """Return the cheapest of ``servers``, or None if all are full."""
         limit = self._vm_share(max_connections)
@@ -223,13 +192,7 @@
         return max(1, total // self.vm_count)
 
     def _cost(self, server, now):
-        load = self.load(server)
-        queue = load.in_flight + 1
-        if load.report is not None and now - load.reported_s < REPORT_VALID_S:
-            report = load.report
-            queue += max(0, report.running + report.waiting - report.slots / 2)
-        latency_s = load.latency_s or INITIAL_LATENCY_S
-        cost = queue * (latency_s + self._failure_penalty_s(load, now))
+        cost = self.load(server).plain_cost_s(now)
         is_local = server.failure_domain == self.failure_domain
         return cost if is_local else cost * CROSS_DOMAIN_FACTOR
 
@@ -251,6 +214,8 @@
             if not self._has_capacity(decode, demand):
                 continue
             wait_s = EXPECTED_GAPS * self._gap_s(decode, now)
+            excess = self.load(decode).excess_streams(now)
+            wait_s += EXCESS_STREAM_S * excess
             if decode is not affinity_server:
                 wait_s += CACHE_MISS_PENALTY_S
             options += self._options(
@@ -301,8 +266,7 @@
         )
 
     def _gap_s(self, server, now):
-        load = self.load(server)
-        return load.gap_s * _decay(now - load.gap_observed_s)
+        return self.load(server).expected_gap_s(now)
 
     def _prefill_s(self, server, tokens, now):
         """Return the expected seconds until ``tokens`` are prefilled."""
@@ -348,9 +312,7 @@
 
     def on_gap(self, server, gap_s, now):
         """Record the gap between two events of a stream."""
-        load = self.load(server)
-        load.gap_s += GAP_WEIGHT * (gap_s - load.gap_s)
-        load.gap_observed_s = now
+        self.load(server).on_gap(gap_s, now)
 
     def on_prefilled(self, server, tokens, seconds, cost_s=None):
         """Record that the prefill of ``tokens`` took ``seconds``.
@@ -387,11 +349,3 @@
     def add_backlog(self, server, tokens):
         """Add ``tokens`` to a server's prefill backlog, or subtract them."""
         self.load(server).backlog_tokens += tokens
-
-
-def _decay(age_s):
-    """Return the weight of an observation of this age.
-
-    It stays at 1 for one second, then halves every second.
-    """
-    return 0.5 ** max(0.0, age_s - 1.0)
--- a/src/mangorock/scheduler.py
+++ b/src/mangorock/scheduler.py
@@ -145,7 +145,7 @@
                     engine,
                     engine.queue_s(now),
                     engine.count_streams(now),
-                    engine.slots,
+                    engine.usable_slots(now),
                     self.model.slowdown(server),
                 )
             )
@@ -268,11 +268,13 @@
             if server.server_id == outcome.decode:
                 self._record_first_event(server, job, outcome, now)
 
-    def record_pace(self, pace, servers):
+    def record_pace(self, pace, servers, now):
         """Update the pace of an engine from a `StreamPace`."""
         for server in servers:
             if server.server_id == pace.server:
-                self.engine(server).add_stream(pace.events, pace.seconds)
+                engine = self.engine(server)
+                engine.add_stream(pace.events, pace.seconds)
+                engine.learn_capacity(pace.events, pace.seconds, now)
 
     def _record_first_event(self, server, job, outcome, now):
         if outcome.slots:
@@ -327,6 +329,12 @@
                 break
             del self.handovers_s[request_id]
 
+    def learned_limits(self):
+        """Yield (incarnation, slots, `capacity.Capacity`) where known."""
+        for incarnation, engine in self.engines.items():
+            if engine.learned.is_notable:
+                yield incarnation, engine.slots, engine.learned
+
     def queue_s(self, server, now):
         """Return a server's queue with its share of the waiting prompts."""
         waiting_s = self.backlog.work_s() / max(1, len(self.engines))
