Compare servers by learned limits; bound the cost of a decision

Cause: an additive queue beyond half of the slots hides a knee below it, and the cost of a comparison grew with the number of servers. Change: if the capacity or pace of one server is known, the expected latency of all grows with the load beyond the limit; at most 64 servers are compared.

--- a/src/mangorock/capacity.py
+++ b/src/mangorock/capacity.py
@@ -38,13 +38,13 @@
 # Least growth of the latency beyond the knee, and the least growth in standard
 # errors, so that differences in the work of requests are not taken for it.
 MIN_GROWTH = 1.25
-MIN_STANDARD_ERRORS = 4.0
+MIN_STANDARD_ERRORS = 3.5
 # Relative standard deviation that is assumed at first, and the weight of this
 # assumption.
 PRIOR_DEVIATION = 0.3
 PRIOR_WEIGHT = 2.0
 # Shortest time between two evaluations of a server, in seconds.
-EVALUATION_INTERVAL_S = 0.25
+EVALUATION_INTERVAL_S = 0.5
 # A limit grows at most by the factor of two in this time, in seconds.
 DOUBLING_S = 2.0
 # Validity of a reported pace, in seconds; it changes many times a second.
@@ -118,7 +118,8 @@
         """Return the `Knee`, None if no growth is certain.
 
         The buckets are split where the growth from those below to those
-        above is the most certain.
+        above is the most certain.  Only one pass is made over them, as this
+        is evaluated for many servers.
         """
         buckets = [
             bucket
@@ -127,54 +128,71 @@
         ]
         if len(buckets) < 2:
             return None
-        variance = self._relative_variance(buckets, now)
+        weights = [bucket.decayed_weight(now) for bucket in buckets]
+        variance = _relative_variance(buckets, weights)
+        sums = _sums_above(buckets, weights, now)
         found = None
+        low_weight = low_sum = 0.0
         for split in range(1, len(buckets)):
-            knee = self._knee_at(buckets, split, variance, now)
-            if knee and (found is None or knee.score > found.score):
-                found = knee
+            below = buckets[split - 1]
+            weight = max(weights[split - 1], min(KEPT_WEIGHT, below.weight))
+            low_weight += weight
+            low_sum += weight * below.mean
+            high = sums[split]
+            if low_weight < MIN_WEIGHT or high.weight < MIN_WEIGHT:
+                continue
+            base, mean = low_sum / low_weight, high.values / high.weight
+            if base <= 0 or mean < MIN_GROWTH * base:
+                continue
+            error = math.sqrt(variance * (1 / low_weight + 1 / high.weight))
+            score = math.log(mean / base) / error
+            if score < MIN_STANDARD_ERRORS or (found and score < found.score):
+                continue
+            # Beyond the knee, latency is taken to be proportional to the load.
+            load = base * high.ratios / high.weight
+            load = max(below.load, min(high.lowest, load))
+            found = Knee(load, score, high.newest_s + GROWTH_VALID_S)
         return found
 
-    @staticmethod
-    def _relative_variance(buckets, now):
-        total, weight = PRIOR_WEIGHT * PRIOR_DEVIATION**2, PRIOR_WEIGHT
-        for bucket in buckets:
-            own = bucket.decayed_weight(now)
-            total += own * bucket.variance / (bucket.mean**2 or 1.0)
-            weight += own
-        return total / weight
-
-    @staticmethod
-    def _knee_at(buckets, split, variance, now):
-        """Return the `Knee` if latency grows at ``split``, or None."""
-        low_weight = low_sum = 0.0
-        for bucket in buckets[:split]:
-            weight = max(
-                bucket.decayed_weight(now), min(KEPT_WEIGHT, bucket.weight)
+
+@attrs.define
+class Sums:
+    """Weighted sums over the buckets from one load on upwards.
+
+    ``ratios`` is that of load to mean, ``lowest`` the lowest load.
+    """
+
+    weight: float = 0.0
+    values: float = 0.0
+    ratios: float = 0.0
+    lowest: float = 0.0
+    newest_s: float = float('-inf')
+
+
+def _sums_above(buckets, weights, now):
+    """Return the `Sums` from each bucket on; old samples do not count."""
+    sums = Sums()
+    found = []
+    for bucket, weight in zip(reversed(buckets), reversed(weights)):
+        if now - bucket.updated_s <= GROWTH_VALID_S and bucket.mean > 0:
+            sums = Sums(
+                sums.weight + weight,
+                sums.values + weight * bucket.mean,
+                sums.ratios + weight * bucket.load / bucket.mean,
+                bucket.load,
+                max(sums.newest_s, bucket.updated_s),
             )
-            low_weight += weight
-            low_sum += weight * bucket.mean
-        high = [
-            (bucket, bucket.decayed_weight(now))
-            for bucket in buckets[split:]
-            if now - bucket.updated_s <= GROWTH_VALID_S
-        ]
-        high_weight = sum(weight for _, weight in high)
-        if low_weight < MIN_WEIGHT or high_weight < MIN_WEIGHT:
-            return None
-        base = low_sum / low_weight
-        mean = sum(w * bucket.mean for bucket, w in high) / high_weight
-        if base <= 0 or mean < MIN_GROWTH * base:
-            return None
-        error = math.sqrt(variance * (1 / low_weight + 1 / high_weight))
-        score = math.log(mean / base) / error
-        if score < MIN_STANDARD_ERRORS:
-            return None
-        # Beyond the knee, latency is taken to be proportional to the load.
-        load = base * sum(w * b.load / b.mean for b, w in high) / high_weight
-        load = max(buckets[split - 1].load, min(high[0][0].load, load))
-        newest_s = max(bucket.updated_s for bucket, _ in high)
-        return Knee(load, score, newest_s + GROWTH_VALID_S)
+        found.append(sums)
+    found.reverse()
+    return found
+
+
+def _relative_variance(buckets, weights):
+    total, weight_sum = PRIOR_WEIGHT * PRIOR_DEVIATION**2, PRIOR_WEIGHT
+    for bucket, weight in zip(buckets, weights):
+        total += weight * bucket.variance / (bucket.mean**2 or 1.0)
+        weight_sum += weight
+    return total / weight_sum
 
 
 @attrs.define
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -15,7 +15,7 @@
 from mangorock import accounting
 from mangorock import admission
 from mangorock import budget
-from mangorock import capacity_reports
+from mangorock import capacity_reports as reports
 from mangorock import catalog as catalogs
 from mangorock import demand as demands
 from mangorock import errors
@@ -79,6 +79,9 @@
         factory=revocation.KeyConfirmation
     )
     demand: demands.DemandCounter = attrs.field(factory=demands.DemandCounter)
+    capacity_reports: reports.CapacityReports = attrs.field(
+        factory=reports.CapacityReports
+    )
     stops_at_s: float | None = None
 
     def __attrs_post_init__(self):
@@ -217,7 +220,7 @@
         self.budgets.forget_idle(now)
         for found in self.schedulers.values():
             found.forget(incarnations)
-        capacity_reports.report(
+        self.capacity_reports.report(
             self.placer, self.schedulers.values(), self.metrics, now
         )
 
--- a/src/mangorock/loads.py
+++ b/src/mangorock/loads.py
@@ -11,6 +11,9 @@
 # Added to the latency of a server whose answer failed, because the request
 # had to be retried or was lost; halves every second.
 FAILURE_PENALTY_S = 0.5
+# Largest factor by which a reported load raises the expected latency, so that
+# a false report puts no server behind all others for long.
+MAX_LOAD_FACTOR = 16.0
 GAP_WEIGHT = 0.3  # Weight of the newest gap in the moving average.
 
 
@@ -89,22 +92,40 @@
         report = self.report
         return max(1, self.in_flight, report.running + report.waiting)
 
+    def is_learned(self, now):
+        """Return whether the server's capacity or pace is known."""
+        if not capacity.IS_ENABLED or not self.has_report(now):
+            return False
+        report, learned = self.report, self.answers
+        if report.pace is not None:
+            return True
+        if learned.knee is None:
+            return False
+        return learned.limit(report.slots, now) < report.slots
+
     def plain_cost_s(self, now):
-        """Return the expected time of one more plain request."""
+        """Return the cost of one more request, without learned figures."""
         queue = self.in_flight + 1
         if self.has_report(now):
             report = self.report
-            running = report.running + report.waiting
-            beyond = max(0, running - report.slots / 2)
-            # A learned limit replaces the assumed one where it is lower.
-            queue += max(
-                beyond,
-                capacity.excess(running, report.slots, self.answers, now),
-            )
-        latency_s = self.latency_s or INITIAL_LATENCY_S
-        if capacity.IS_ENABLED:
-            latency_s *= self.answers.pace_factor(now)
-        return queue * (latency_s + self.penalty_s(now))
+            queue += max(0, report.running + report.waiting - report.slots / 2)
+        return queue * self._latency_s(now)
+
+    def learned_cost_s(self, now):
+        """Return the cost of one more request, with learned figures.
+
+        Latency is taken to be proportional to the load beyond the limit.
+        """
+        cost_s = (self.in_flight + 1) * self._latency_s(now)
+        if self.has_report(now):
+            report = self.report
+            load = report.running + report.waiting + 1
+            limit = max(1.0, self.answers.limit(report.slots, now))
+            cost_s *= min(MAX_LOAD_FACTOR, max(1.0, load / limit))
+        return cost_s * self.answers.pace_factor(now)
+
+    def _latency_s(self, now):
+        return (self.latency_s or INITIAL_LATENCY_S) + self.penalty_s(now)
 
     def expected_gap_s(self, now):
         """Return the expected gap between events of a stream.
--- a/src/mangorock/placement.py
+++ b/src/mangorock/placement.py
@@ -58,6 +58,8 @@
 # itself: there are many, and they hardly add to an engine's queue.
 LONG_GAP_SHARE = 0.2
 PROMPT_TOKENS_WEIGHT = 0.1  # Weight of the newest prompt in the average.
+# Plain servers of learned capacity that are compared for one request.
+MAX_COMPARED = 64
 # Factor on the cost of a server in another failure domain.
 CROSS_DOMAIN_FACTOR = 1.15
 
@@ -118,7 +120,8 @@
     """Selects servers from the load of each incarnation.
 
     A state machine without I/O: callers pass the time and report events.
-    ``vm_count`` is the number of entry VMs that share the servers.
+    ``vm_count`` is the number of entry VMs that share the servers; ``turn``
+    is where the next comparison of a part of them begins.
     """
 
     failure_domain: str
@@ -126,6 +129,7 @@
     loads: dict = attrs.field(factory=dict)
     model: engines.PrefillModel = attrs.field(factory=engines.PrefillModel)
     route_tokens: dict = attrs.field(factory=dict)
+    turn: int = 0
 
     def load(self, server):
         """Return the `loads.ServerLoad` of a server's current incarnation."""
@@ -181,18 +185,37 @@
                     yield incarnation, load.report.slots, learned
 
     def place_plain(self, servers, max_connections, now):
-        """Return the cheapest of ``servers``, or None if all are full."""
+        """Return the cheapest of ``servers``, or None if all are full.
+
+        If the capacity of one is known, that of all is compared.
+        """
         limit = self._vm_share(max_connections)
-        free = [s for s in servers if self.load(s).in_flight < limit]
+        known = [(server, self.load(server)) for server in servers]
+        free = [pair for pair in known if pair[1].in_flight < limit]
         if not free:
             return None
-        return min(free, key=lambda server: self._cost(server, now))
+        is_learned = any(load.is_learned(now) for _, load in free)
+        if is_learned:
+            free = self._some(free)
+        return min(free, key=lambda pair: self._cost(pair, is_learned, now))[0]
 
     def _vm_share(self, total):
         return max(1, total // self.vm_count)
 
-    def _cost(self, server, now):
-        cost = self.load(server).plain_cost_s(now)
+    def _some(self, pairs):
+        """Return `MAX_COMPARED` of the servers in turn, which bounds cost."""
+        if len(pairs) <= MAX_COMPARED:
+            return pairs
+        start = self.turn % len(pairs)
+        self.turn = start + MAX_COMPARED
+        return (pairs + pairs[:MAX_COMPARED])[start : start + MAX_COMPARED]
+
+    def _cost(self, pair, is_learned, now):
+        server, load = pair
+        if is_learned:
+            cost = load.learned_cost_s(now)
+        else:
+            cost = load.plain_cost_s(now)
         is_local = server.failure_domain == self.failure_domain
         return cost if is_local else cost * CROSS_DOMAIN_FACTOR
 
