--- a/src/mangorock/capacity.py
+++ b/src/mangorock/capacity.py
@@ -288,11 +288,18 @@
     def pace_factor(self, now):
         """Return the time that work takes now relative to recent responses.
 
-        The latencies of those include the server's mean pace.
+        The latencies of those include the server's mean pace.  As that gets
+        older, the usual pace is assumed again, since a server that is avoided
+        for its pace does not report a better one.
         """
-        if now - self.pace_s > PACE_VALID_S:
+        age_s = now - self.pace_s - PACE_VALID_S
+        if age_s <= 0:
+            factor = self.pace / self.mean_pace
+        elif self.mean_pace in (0.0, 1.0):
             return 1.0
-        factor = self.pace / self.mean_pace
+        else:
+            weight = 0.5 ** (age_s / HALF_LIFE_S)
+            factor = self.mean_pace ** (weight - 1)
         return min(MAX_PACE_FACTOR, max(MIN_PACE_FACTOR, factor))
 
     @property
--- a/src/mangorock/loads.py
+++ b/src/mangorock/loads.py
@@ -11,9 +11,6 @@
 # Added to the latency of a server whose answer failed, because the request
 # had to be retried or was lost; halves every second.
 FAILURE_PENALTY_S = 0.5
-# Largest factor by which a reported load raises the expected latency, so that
-# a false report puts no server behind all others for long.
-MAX_LOAD_FACTOR = 16.0
 GAP_WEIGHT = 0.3  # Weight of the newest gap in the moving average.
 
 
@@ -121,7 +118,7 @@
             report = self.report
             load = report.running + report.waiting + 1
             limit = max(1.0, self.answers.limit(report.slots, now))
-            cost_s *= min(MAX_LOAD_FACTOR, max(1.0, load / limit))
+            cost_s *= max(1.0, load / limit)
         return cost_s * self.answers.pace_factor(now)
 
     def _latency_s(self, now):
