Divide the places of waiting requests among client accounts

Cause: an account that sends ten times as many requests as others fills the queues, and the others are refused in proportion to what it sends. Requests without an account keep their positions.

--- a/src/mangorock/backlog.py
+++ b/src/mangorock/backlog.py
@@ -10,13 +10,20 @@
   since a late answer is worth more to its caller than none.
 * Callers that give up: their prompts leave the queue as soon as no engine
   can answer before that.
+* An account that sends more than its share: `fairness.Shares` divides the
+  places of one priority, and those of late prompts, among the accounts.
 """
 
 import attrs
 
+from mangorock import fairness
+
 # Of this many prompts assigned in a row, the last goes to the prompt whose
 # latest start comes first, whatever its priority.
 FAIR_TURN = 8
+# A waiting prompt is refused if its wait is predicted to be this many times
+# longer than its caller's, since a prediction may be wrong.
+LOST_WAIT_FACTOR = 1.5
 
 
 @attrs.define(eq=False)
@@ -36,6 +43,11 @@
     shortest_s: float = 0.0
     cost_s: float = 0.0
 
+    @property
+    def flow(self):
+        """Return the flow whose share it uses."""
+        return self.request.priority, self.request.account
+
     def may_be_in_time(self, now):
         """Return whether its first event can come before the target."""
         return now + self.shortest_s <= self.target_at_s
@@ -51,10 +63,13 @@
 
     prompts: dict = attrs.field(factory=dict)
     turn: int = 0
+    shares: fairness.Shares = attrs.field(factory=fairness.Shares)
 
     def add(self, prompt):
         """Add a prompt; one with the same request id is replaced."""
+        self.remove(prompt.request.request_id)
         self.prompts[prompt.request.request_id] = prompt
+        self.shares.on_wait(prompt.flow)
 
     def refresh(self, request, reply, now):
         """Update a prompt that waits already; return whether it does."""
@@ -65,37 +80,75 @@
         known.gives_up_at_s = min(known.gives_up_at_s, now + request.left_s)
         return True
 
-    def remove(self, request_id):
-        """Remove a prompt and return it, None if it does not wait."""
-        return self.prompts.pop(request_id, None)
+    def remove(self, request_id, is_served=None):
+        """Remove a prompt and return it, None if it does not wait.
+
+        ``is_served`` says whether it was assigned or refused; it is None if
+        neither, as for a caller that has gone.
+        """
+        prompt = self.prompts.pop(request_id, None)
+        if prompt is not None:
+            self.shares.on_leave(prompt.flow, is_served)
+        return prompt
 
     def take_lost(self, now):
         """Remove and return the prompts that no engine can serve any more."""
         lost = [p for p in self.prompts.values() if p.is_lost(now)]
         for prompt in lost:
-            del self.prompts[prompt.request.request_id]
+            self.remove(prompt.request.request_id, False)
         return lost
 
+    def take_outrun(self, ordered, engine_count, now):
+        """Remove and return the prompts whose turn will come too late.
+
+        ``ordered`` are the prompts, the next one first.  Those before a
+        prompt are shared by ``engine_count`` engines.
+        """
+        outrun, before_s = [], 0.0
+        for prompt in ordered:
+            start_s = now + before_s / engine_count / LOST_WAIT_FACTOR
+            if prompt.is_lost(start_s):
+                self.remove(prompt.request.request_id, False)
+                outrun.append(prompt)
+            else:
+                before_s += prompt.cost_s
+        return outrun
+
+    def take_displaced(self, newcomer, now):
+        """Remove and return the prompt that gives way to another, or None."""
+        ordered = self._by_shares([*self.prompts.values(), newcomer], now)
+        displaced = self.shares.displaced(ordered, newcomer)
+        if displaced is not None:
+            self.remove(displaced.request.request_id, False)
+        return displaced
+
     def ordered(self, now):
         """Return the prompts, the next one first."""
-        prompts = sorted(
-            self.prompts.values(), key=lambda p: _sort_key(p, now)
-        )
+        prompts = self._by_shares(self.prompts.values(), now)
         if self.turn + 1 >= FAIR_TURN:
             return _with_fair_turn(prompts, now)
         return prompts
 
+    def _by_shares(self, prompts, now):
+        ordered = sorted(prompts, key=lambda p: _sort_key(p, now))
+        return self.shares.order(ordered, lambda p: _sort_key(p, now)[:2])
+
     def on_assigned(self):
         """Count an assignment."""
         self.turn = (self.turn + 1) % FAIR_TURN
 
     def work_before_s(self, prompt, now):
-        """Return the prefill seconds of the prompts that go before one."""
+        """Return the prefill seconds of the prompts that go before one.
+
+        Those of the same urgency and latest start do not count.
+        """
+        others = [p for p in self.prompts.values() if p is not prompt]
+        ordered = self._by_shares([*others, prompt], now)
         own_key = _sort_key(prompt, now)
         return sum(
             p.cost_s
-            for p in self.prompts.values()
-            if p is not prompt and _sort_key(p, now) < own_key
+            for p in ordered[: ordered.index(prompt)]
+            if _sort_key(p, now) != own_key
         )
 
     def work_s(self):
@@ -111,9 +164,16 @@
 
 
 def _with_fair_turn(prompts, now):
-    """Move the prompt in time with the first latest start to the front."""
-    in_time = [p for p in prompts if p.may_be_in_time(now)]
-    if not in_time:
+    """Move the prompt in time with the first latest start to the front.
+
+    Only the next prompt of each priority is considered: the order within one
+    priority is that of the accounts' shares.
+    """
+    heads = {}
+    for prompt in prompts:
+        if prompt.may_be_in_time(now):
+            heads.setdefault(prompt.request.priority, prompt)
+    if not heads:
         return prompts
-    first = min(in_time, key=lambda p: p.target_at_s - p.shortest_s)
+    first = min(heads.values(), key=lambda p: p.target_at_s - p.shortest_s)
     return [first, *(p for p in prompts if p is not first)]
--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -64,6 +64,9 @@
 def encode(number, message):
     """Return the datagram for a message."""
     fields = attrs.asdict(message)
+    if not fields.get('account', True):
+        # A VM of an earlier build does not know this field.
+        del fields['account']
     return orjson.dumps([type(message).__name__, number, fields])
 
 
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -318,36 +318,61 @@
         queue = self.wait_queues.setdefault(
             context.service, waiting.WaitQueue(MAX_QUEUED_REQUESTS)
         )
-        if queue.is_first(wait.priority):
+        if queue.is_first(wait.priority, account=wait.account):
             found = place()
             if found is not None:
+                queue.shares.on_placed_at_once(wait.flow)
                 return found
         own_place = place if wait.is_resumed else None
+        now = time.monotonic()
         ticket = queue.add(
-            wait.priority, time.monotonic(), wait.until_s, own_place
+            wait.priority, now, wait.until_s, own_place, wait.account
         )
         if ticket is None:
-            raise refusals.overloaded(context, self.retry_after_s())
+            self.metrics.add('refused_without_wait')
+            refusal = self._overloaded(queue, wait, context)
+            until_s = now + (refusal.retry_after_s or 0.0)
+            request_id = context.request.request_id
+            queue.shares.on_refusal(wait.flow, request_id, now, until_s)
+            raise refusal
+        is_served = None
         try:
-            return await self._wait_in_queue(queue, ticket, place, context)
+            found = await self._wait_in_queue(queue, ticket, place, context)
+            is_served = True
+            return found
+        except errors.MangorockError:
+            is_served = False
+            raise
         finally:
-            queue.remove(ticket)
+            queue.remove(ticket, is_served, time.monotonic())
             await self.notify_first_waiter(context.service)
 
     async def _wait_in_queue(self, queue, ticket, place, context):
         while True:
-            wait_s = ticket.expires_at_s - time.monotonic()
-            if wait_s <= 0:
-                raise refusals.overloaded(context, self.retry_after_s())
+            now = time.monotonic()
+            if queue.is_lost(ticket, now):
+                raise self._overloaded(queue, ticket, context)
             ticket.wakeup.clear()
             admission.check_sendable(self, context)
             if queue.is_first(ticket.priority, ticket):
                 found = place()
                 if found is not None:
                     return found
-            async with curio.ignore_after(min(wait_s, waiting.RECHECK_S)):
+            wait_s = min(ticket.expires_at_s - now, waiting.RECHECK_S)
+            async with curio.ignore_after(wait_s):
                 await ticket.wakeup.wait()
 
+    def _overloaded(self, queue, wait, context):
+        """Return the error that tells when the queue will have room."""
+        room_s = queue.room_after_s(
+            wait, context.route.target_s, time.monotonic()
+        )
+        if room_s is None:
+            retry_after_s = self.retry_after_s()
+        else:
+            retry_after_s = self.spread(room_s)
+        return refusals.overloaded(context, retry_after_s)
+
     async def notify_first_waiter(self, service):
         """Wake the first request in the queue, as a slot may be free."""
         queue = self.wait_queues.get(service)
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -107,7 +107,12 @@
         if not self.relay.reply.is_started:
             return waiting.wait_of_new_request(self.context)
         deadline_s = self.context.deadline_s
-        return waiting.Wait(messages.RESUMED_PRIORITY, deadline_s, True)
+        return waiting.Wait(
+            messages.RESUMED_PRIORITY,
+            deadline_s,
+            True,
+            self.context.account_name,
+        )
 
     async def _ask_scheduler(self):
         """Return the placement that the shared scheduler chose.
@@ -168,6 +173,7 @@
             output_events=prompt.expected_output_tokens
             / self.service.engine.event_tokens,
             tried=[server_id for server_id, _ in context.tried],
+            account=context.account_name,
         )
 
     def _resolve_assignment(self, assignment):
--- a/src/mangorock/messages.py
+++ b/src/mangorock/messages.py
@@ -78,7 +78,8 @@
     0 is the most urgent of new requests, `RESUMED_PRIORITY` is for a stream
     that is resumed.
     ``output_events`` is the expected number of events.  ``tried`` are the
-    ids of servers that must not be used.
+    ids of servers that must not be used.  ``account`` is the name of the
+    client account, '' without one.
     """
 
     service: str = attrs.field(validator=_text)
@@ -94,6 +95,7 @@
     end_left_s: float = attrs.field(validator=_seconds, default=MAX_SECONDS)
     output_events: float = attrs.field(validator=_count, default=0.0)
     tried: tuple = attrs.field(validator=_texts, converter=tuple, default=())
+    account: str = attrs.field(validator=_text, default='')
 
 
 @attrs.frozen
--- a/src/mangorock/scheduler.py
+++ b/src/mangorock/scheduler.py
@@ -110,10 +110,25 @@
             best.cost_s,
         )
         expected_s = self._expected_wait_s(prompt, options, best, now)
-        if self._is_hopeless(prompt, expected_s, now):
-            return messages.Rejection(max(MIN_RETRY_AFTER_S, expected_s)), []
+        rejection = messages.Rejection(max(MIN_RETRY_AFTER_S, expected_s))
+        others = []
+        is_hopeless = self._is_hopeless(prompt, expected_s, now)
+        if not is_hopeless and len(self.backlog.prompts) >= MAX_WAITING:
+            displaced = self.backlog.take_displaced(prompt, now)
+            if displaced is None:
+                is_hopeless = True
+            else:
+                others.append((displaced, rejection))
+        if is_hopeless:
+            self.backlog.shares.on_refusal(
+                prompt.flow,
+                request.request_id,
+                now,
+                now + rejection.retry_after_s,
+            )
+            return rejection, []
         self.backlog.add(prompt)
-        others, answer = [], messages.Queued(max(0.0, expected_s))
+        answer = messages.Queued(max(0.0, expected_s))
         for found, message in self._assign_waiting(options, now):
             if found is prompt:
                 answer = message
@@ -159,11 +174,9 @@
         before_s = self.backlog.work_before_s(prompt, now)
         return best.queue_s + before_s / len(options.states)
 
-    def _is_hopeless(self, prompt, expected_s, now):
-        return (
-            len(self.backlog.prompts) >= MAX_WAITING
-            or now + expected_s + prompt.shortest_s > prompt.gives_up_at_s
-        )
+    @staticmethod
+    def _is_hopeless(prompt, expected_s, now):
+        return now + expected_s + prompt.shortest_s > prompt.gives_up_at_s
 
     def _assign_waiting(self, options, now):
         """Assign prompts in order while an engine is free.
@@ -177,8 +190,14 @@
         ]
         if not options.has_free_engine(LOOKAHEAD_S):
             return answers
+        ordered = self.backlog.ordered(now)
+        outrun = self.backlog.take_outrun(ordered, len(options.states), now)
+        if outrun:
+            rejection = messages.Rejection(self._retry_after_s(options))
+            answers += [(prompt, rejection) for prompt in outrun]
+            ordered = [p for p in ordered if p not in outrun]
         late = []
-        for prompt in self.backlog.ordered(now)[:MAX_CONSIDERED]:
+        for prompt in ordered[:MAX_CONSIDERED]:
             best = self._best_candidate(prompt, options)
             if best is None:
                 continue
@@ -220,7 +239,7 @@
 
     def _assign(self, prompt, candidate, now):
         request = prompt.request
-        self.backlog.remove(request.request_id)
+        self.backlog.remove(request.request_id, True)
         self.backlog.on_assigned()
         self._remove_job(request.request_id, False, now)
         engine, decode = candidate.prefiller.engine, candidate.decode.engine
