Predict waits by account, tell refused callers apart, log the shares

Change: the prediction uses the rate of the request's own account too; the Retry-After counts the callers of the account that were told to come back. A request without an account is not pushed back by accounts that overtake each other. account_shares and the field account of request_done.

--- a/src/mangorock/accounting.py
+++ b/src/mangorock/accounting.py
@@ -127,6 +127,7 @@
         'read_s': context.seconds_since_received(context.prompt_read_at_s),
         'first_s': context.seconds_since_received(context.first_event_at_s),
         'service': context.service,
+        'account': context.account_name,
         'sends': context.sends,
         'arrivals': context.ledger.sends,
         'paid': context.ledger.paid,
@@ -169,3 +170,17 @@
         tokens=assignment.tokens,
         expected_s=assignment.expected_s,
     )
+
+
+def log_shares(service, place, shares):
+    """Log how accounts were served by one `fairness.Shares`.
+
+    ``place`` says where requests wait: in the VM's queue or at its scheduler.
+    """
+    for found in shares.take_summaries():
+        logs.event(
+            'account_shares',
+            service=service,
+            place=place,
+            **attrs.asdict(found),
+        )
--- a/src/mangorock/backlog.py
+++ b/src/mangorock/backlog.py
@@ -33,7 +33,8 @@
     ``target_at_s`` is when its first event is late, ``gives_up_at_s`` when
     its caller gives up, and ``shortest_s`` the expected time to its first
     event from its assignment to an idle engine.  ``reply(message)`` sends a
-    message to the VM that asked.
+    message to the VM that asked.  ``flow`` is the flow whose share it uses,
+    and ``delay_s`` how much later than its own its position is.
     """
 
     request: object
@@ -42,11 +43,11 @@
     gives_up_at_s: float
     shortest_s: float = 0.0
     cost_s: float = 0.0
+    delay_s: float = 0.0
+    flow: tuple = attrs.field(init=False)
 
-    @property
-    def flow(self):
-        """Return the flow whose share it uses."""
-        return self.request.priority, self.request.account
+    def __attrs_post_init__(self):
+        self.flow = self.request.priority, self.request.account
 
     def may_be_in_time(self, now):
         """Return whether its first event can come before the target."""
@@ -130,8 +131,33 @@
         return prompts
 
     def _by_shares(self, prompts, now):
-        ordered = sorted(prompts, key=lambda p: _sort_key(p, now))
-        return self.shares.order(ordered, lambda p: _sort_key(p, now)[:2])
+        prompts = list(prompts)
+        keys = [_sort_key(prompt, now) for prompt in prompts]
+        numbers = sorted(range(len(prompts)), key=keys.__getitem__)
+        ordered = [prompts[n] for n in numbers]
+        if not self.shares.levels:
+            return ordered
+        return self.shares.order(ordered, [keys[n][:2] for n in numbers])
+
+    def hand_on_position(self, assigned, now):
+        """Move the accounts' prompts that an assigned one overtook back.
+
+        It had the position of the first of them.  Without this, prompts
+        without an account would wait for all that overtake.
+        """
+        *group, last_s = _sort_key(assigned, now)
+        rows = [
+            (key[2], number, prompt)
+            for number, prompt in enumerate(self.prompts.values())
+            if prompt.request.account
+            and (key := _sort_key(prompt, now))[:2] == tuple(group)
+            and key[2] < last_s
+        ]
+        if assigned.request.account and rows:
+            rows.sort()
+            positions_s = [*(row[0] for row in rows[1:]), last_s]
+            for row, next_s in zip(rows, positions_s, strict=True):
+                row[2].delay_s += next_s - row[0]
 
     def on_assigned(self):
         """Count an assignment."""
@@ -159,8 +185,9 @@
 def _sort_key(prompt, now):
     if prompt.may_be_in_time(now):
         latest_start_s = prompt.target_at_s - prompt.shortest_s
-        return 0, prompt.request.priority, latest_start_s
-    return 1, 0, prompt.gives_up_at_s - prompt.shortest_s
+        position_s = latest_start_s + prompt.delay_s
+        return 0, prompt.request.priority, position_s
+    return 1, 0, prompt.gives_up_at_s - prompt.shortest_s + prompt.delay_s
 
 
 def _with_fair_turn(prompts, now):
--- a/src/mangorock/fairness.py
+++ b/src/mangorock/fairness.py
@@ -21,12 +21,11 @@
 
     shares = Shares()
     shares.on_wait((0, 'huka270'))
-    shares.order(waiters, lambda waiter: waiter.priority)
+    shares.order(waiters, [waiter.priority for waiter in waiters])
     shares.on_leave((0, 'huka270'), is_served=True)
 """
 
 import collections
-import heapq
 
 import attrs
 
@@ -44,6 +43,8 @@
 MAX_IDLE = 64
 # Refusals whose repeats are recognised.
 MAX_REFUSALS = 4096
+# Priorities that are summarised, the most urgent first.
+MAX_SUMMARIES = 8
 
 
 @attrs.define
@@ -82,6 +83,7 @@
     waiting: collections.Counter = attrs.field(factory=collections.Counter)
     total: Tally = attrs.field(factory=Tally)
     tallies: dict = attrs.field(factory=dict)
+    is_changed: bool = False
 
     def lag(self, account):
         """Return how far its next request is ahead of the virtual time."""
@@ -124,6 +126,7 @@
 
     def count(self, account, is_served):
         """Count the end of a request."""
+        self.is_changed = True
         self.total.add(is_served)
         self.tallies.setdefault(account, Tally()).add(is_served)
         if self.total.ended >= HALVED_AT:
@@ -212,48 +215,41 @@
             if len(self.refusals) > MAX_REFUSALS:
                 del self.refusals[next(iter(self.refusals))]
 
-    def order(self, items, group_of):
+    def order(self, items, groups):
         """Return the items in the order in which they are served.
 
         ``items`` are in the order that holds without shares; each has a
-        ``flow``.  Those of one ``group_of(item)`` are adjacent, and only
-        they change places.
+        ``flow``.  ``groups`` has the group of each item: only items of one
+        group change places.
         """
         positions = {}
         for position, item in enumerate(items):
             if item.flow[1]:
-                positions.setdefault(group_of(item), []).append(position)
+                positions.setdefault(groups[position], []).append(position)
         ordered = list(items)
         for found in positions.values():
-            merged = self._merge([items[p] for p in found])
-            for position, item in zip(found, merged, strict=True):
-                ordered[position] = item
+            keys = self._keys([items[p].flow for p in found])
+            by_key = sorted(zip(keys, found, strict=True))
+            for position, (_, source) in zip(found, by_key, strict=True):
+                ordered[position] = items[source]
         return ordered
 
-    def _merge(self, items):
-        """Return the items of accounts by virtual start time."""
-        by_flow = {}
-        for number, item in enumerate(items):
-            by_flow.setdefault(item.flow, collections.deque()).append(number)
-        if len(by_flow) == 1:
-            return items
-        heap = []
-        for flow, numbers in by_flow.items():
-            level = self._level(flow[0])
-            rank = 0 if level.is_short(flow[1]) else 1
-            heap.append((rank, level.lag(flow[1]), numbers[0], flow))
-        heapq.heapify(heap)
-        merged = []
-        while heap:
-            _, lag, number, flow = heap[0]
-            merged.append(items[number])
-            numbers = by_flow[flow]
-            numbers.popleft()
-            if numbers:
-                heapq.heapreplace(heap, (1, lag + 1.0, numbers[0], flow))
-            else:
-                heapq.heappop(heap)
-        return merged
+    def _keys(self, flows):
+        """Return the sort keys of requests that are given by their flows.
+
+        The next request of a flow starts at its tag, each further one a unit
+        of virtual time later.  Only the next one can be preferred.
+        """
+        keys, next_lags = [], {}
+        for flow in flows:
+            lag, rank = next_lags.get(flow), 1
+            if lag is None:
+                level = self._level(flow[0])
+                lag = level.lag(flow[1])
+                rank = 0 if level.is_short(flow[1]) else 1
+            next_lags[flow] = lag + 1.0
+            keys.append((rank, lag))
+        return keys
 
     def displaced(self, ordered, newcomer):
         """Return the item that a newcomer displaces from a full queue.
@@ -268,28 +264,33 @@
         last = [i for i in ordered if i.flow[0] == priority and i.flow[1]][-1]
         return None if last is newcomer else last
 
-    def summaries(self):
-        """Return a `Summary` of each priority with ended requests."""
+    def take_summaries(self):
+        """Return a `Summary` of each priority that refused requests.
+
+        Those without an ended request since the last call are left out.
+        """
         found = []
-        for priority, level in sorted(self.levels.items()):
+        for priority, level in sorted(self.levels.items())[:MAX_SUMMARIES]:
             known = {
                 name: tally
                 for name, tally in level.tallies.items()
                 if tally.ended >= MIN_ENDED
             }
-            if not known:
-                continue
-            lowest = min(known, key=lambda name: known[name].share)
-            largest = max(known, key=lambda name: known[name].ended)
-            found.append(
-                Summary(
-                    priority,
-                    len(level.tallies),
-                    level.total.share,
-                    lowest,
-                    known[lowest].share,
-                    largest,
-                    known[largest].share,
-                )
-            )
+            if known and level.is_changed and level.total.share < 1.0:
+                found.append(_summarise(priority, level, known))
+            level.is_changed = False
         return found
+
+
+def _summarise(priority, level, tallies):
+    lowest = min(tallies, key=lambda name: tallies[name].share)
+    largest = max(tallies, key=lambda name: tallies[name].ended)
+    return Summary(
+        priority,
+        len(level.tallies),
+        level.total.share,
+        lowest,
+        tallies[lowest].share,
+        largest,
+        tallies[largest].share,
+    )
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -214,8 +214,12 @@
         self.placer.forget(incarnations)
         self.outliers.forget(incarnations)
         self.budgets.forget_idle(now)
-        for found in self.schedulers.values():
+        for service, queue in self.wait_queues.items():
+            queue.forget(now)
+            accounting.log_shares(service, 'queue', queue.shares)
+        for service, found in self.schedulers.items():
             found.forget(incarnations)
+            accounting.log_shares(service, 'scheduler', found.backlog.shares)
 
     async def _serve_plain(self, context, service):
         while True:
--- a/src/mangorock/queue_rate.py
+++ b/src/mangorock/queue_rate.py
@@ -32,6 +32,8 @@
 MIN_RETRY_AFTER_S = 0.2
 # Longest one: the load of a later moment cannot be predicted.
 MAX_RETRY_AFTER_S = 10.0
+# Callers of one account that are still to come back and are counted.
+MAX_RETURNS = 1024
 
 
 @attrs.define
@@ -68,6 +70,25 @@
         return max(total_s / count, (total_s + open_s) / (count + 1))
 
 
+@attrs.define
+class Returns:
+    """When the refused callers of one account were told to come back."""
+
+    times_s: collections.deque = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_RETURNS)
+    )
+
+    def add(self, at_s):
+        """Note that a caller was told to come back at ``at_s``."""
+        self.times_s.append(at_s)
+
+    def count(self, now):
+        """Return how many callers are still to come back."""
+        while self.times_s and self.times_s[0] <= now:
+            self.times_s.popleft()
+        return len(self.times_s)
+
+
 def limit_retry_after_s(seconds):
     """Return a predicted time until there is room, within its bounds."""
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, seconds))
--- a/src/mangorock/scheduler.py
+++ b/src/mangorock/scheduler.py
@@ -240,6 +240,7 @@
     def _assign(self, prompt, candidate, now):
         request = prompt.request
         self.backlog.remove(request.request_id, True)
+        self.backlog.hand_on_position(prompt, now)
         self.backlog.on_assigned()
         self._remove_job(request.request_id, False, now)
         engine, decode = candidate.prefiller.engine, candidate.decode.engine
--- a/src/mangorock/waiting.py
+++ b/src/mangorock/waiting.py
@@ -11,6 +11,8 @@
 takes the place of the last one.
 """
 
+import collections
+
 import attrs
 import curio
 
@@ -21,9 +23,12 @@
 MAX_WAIT_TARGET_FRACTION = 1.0
 # Interval of a new try, as a server that is added does not wake the queue.
 RECHECK_S = 0.1
-# A request that waits already is refused if its turn is predicted this many
-# times later than it may wait, since a prediction may be wrong.
-LOST_WAIT_FACTOR = 1.5
+# A new request waits if its turn is predicted within this share of the time
+# that it may wait; one that waits already is refused if its turn is predicted
+# after this multiple of the time that it has left.  Predictions may be wrong,
+# and a request that has waited is not given up for a small error.
+NEW_WAIT_SHARE = 0.8
+LOST_WAIT_FACTOR = 1.2
 
 
 @attrs.frozen
@@ -62,8 +67,9 @@
     """A queued request; ``wakeup`` is set when it may try again.
 
     A stream that broke off has ``place()``, which returns its placement,
-    None if there is no room for it.  ``is_displaced`` is set once another
-    request has its place in the queue.
+    None if there is no room for it.  ``position_s`` orders the queue without
+    accounts.  ``is_displaced`` is set once another request has its place in
+    the queue.
     """
 
     priority: int
@@ -72,12 +78,16 @@
     place: object = None
     account: str = ''
     is_displaced: bool = False
+    position_s: float = attrs.field(init=False)
     wakeup: curio.Event = attrs.field(factory=curio.Event)
 
+    def __attrs_post_init__(self):
+        self.position_s = self.queued_at_s
+
     @property
     def sort_key(self):
         """Return the key that orders the queue without accounts."""
-        return self.priority, self.queued_at_s
+        return self.priority, self.position_s
 
     @property
     def flow(self):
@@ -98,14 +108,19 @@
 class WaitQueue:
     """The waiting requests of one service.
 
-    ``rates`` are the rates at which requests of each priority leave it.
+    ``rates`` are the rates at which requests of each priority and of each
+    flow are placed, ``returns`` the callers of each flow that were told to
+    come back.  ``known_order`` and ``before_new``, the waiters before a new
+    request of each flow, hold until the queue changes.
     """
 
     max_waiters: int
     waiters: list = attrs.field(factory=list)
     shares: fairness.Shares = attrs.field(factory=fairness.Shares)
     rates: dict = attrs.field(factory=dict)
+    returns: dict = attrs.field(factory=dict)
     known_order: list | None = None
+    before_new: dict = attrs.field(factory=dict)
 
     def add(self, priority, now, expires_at_s, place=None, account=''):
         """Return a new `Waiter`, or None if it would wait in vain.
@@ -116,8 +131,8 @@
         """
         waiter = Waiter(priority, now, expires_at_s, place, account)
         if place is None:
-            left_s = expires_at_s - now
-            if self._wait_before_s(waiter, now) > left_s:
+            may_wait_s = NEW_WAIT_SHARE * (expires_at_s - now)
+            if self._wait_before_s(waiter, now) > may_wait_s:
                 return None
             if len(self.waiters) >= self.max_waiters:
                 ordered = self._order([*self.waiters, waiter])
@@ -128,9 +143,11 @@
                 displaced.is_displaced = True
         if not any(t.priority == priority for t in self.waiters):
             self._rate(priority).on_begin(now)
+        if not any(t.flow == waiter.flow for t in self.waiters):
+            self._rate(waiter.flow).on_begin(now)
         self.waiters.append(waiter)
         self.shares.on_wait(waiter.flow)
-        self.known_order = None
+        self._forget_order()
         return waiter
 
     def remove(self, waiter, is_served=None, now=None):
@@ -143,19 +160,57 @@
             return
         self.waiters.remove(waiter)
         self.shares.on_leave(waiter.flow, is_served)
-        self.known_order = None
+        self._forget_order()
         if is_served:
+            self._hand_on_position(waiter)
             self._rate(waiter.priority).on_placed(now)
+            self._rate(waiter.flow).on_placed(now)
 
-    def _rate(self, priority):
-        found = self.rates.get(priority)
+    def _hand_on_position(self, served):
+        """Move the accounts' requests that a served one overtook back by one.
+
+        It had the position of the first of them.  Without this, requests
+        without an account would wait for all that overtake.
+        """
+        overtaken = [
+            t
+            for t in self.waiters
+            if t.account
+            and t.priority == served.priority
+            and t.position_s < served.position_s
+        ]
+        if served.account and overtaken:
+            overtaken.sort(key=lambda t: t.sort_key)
+            behind = [*overtaken[1:], served]
+            positions = [t.position_s for t in behind]
+            for waiter, position_s in zip(overtaken, positions, strict=True):
+                waiter.position_s = position_s
+
+    def _rate(self, key):
+        """Return the `queue_rate.QueueRate` of a priority or a flow."""
+        found = self.rates.get(key)
         if found is None:
-            found = self.rates[priority] = queue_rate.QueueRate()
+            found = self.rates[key] = queue_rate.QueueRate()
         return found
 
+    def forget(self, now):
+        """Drop what is known of flows that have not waited for a while."""
+        waiting = {t.flow for t in self.waiters}
+        waiting |= {t.priority for t in self.waiters}
+        self.rates = {
+            key: rate
+            for key, rate in self.rates.items()
+            if key in waiting or now - rate.since_s <= queue_rate.VALID_S
+        }
+        self.returns = {
+            flow: returning
+            for flow, returning in self.returns.items()
+            if returning.count(now)
+        }
+
     def _order(self, waiters):
         ordered = sorted(waiters, key=lambda t: t.sort_key)
-        return self.shares.order(ordered, lambda t: t.priority)
+        return self.shares.order(ordered, [t.priority for t in ordered])
 
     def _ordered(self):
         if self.known_order is None:
@@ -164,22 +219,35 @@
 
     def _before(self, waiter):
         """Return the waiters that go before one, which may be a new one."""
-        if not self.waiters:
-            return []
         ordered = self._ordered()
-        if waiter not in ordered:
+        if waiter in self.waiters:
+            return ordered[: ordered.index(waiter)]
+        found = self.before_new.get(waiter.flow)
+        if found is None:
             ordered = self._order([*self.waiters, waiter])
-        return ordered[: ordered.index(waiter)]
+            found = ordered[: ordered.index(waiter)]
+            self.before_new[waiter.flow] = found
+        return found
+
+    def _forget_order(self):
+        self.known_order = None
+        self.before_new = {}
 
     def _wait_before_s(self, waiter, now):
-        """Return the predicted time until a waiter is first, 0 if unknown."""
-        intervals_s = {}
-        for other in self._before(waiter):
-            if other.priority not in intervals_s:
-                rate = self._rate(other.priority)
-                intervals_s[other.priority] = [0, rate.interval_s(now)]
-            intervals_s[other.priority][0] += 1
-        return sum(count * each_s for count, each_s in intervals_s.values())
+        """Return the predicted time until a waiter is first, 0 if unknown.
+
+        Requests of accounts that had less may come and overtake it, so that
+        it comes no earlier than the rate of its own account allows.
+        """
+        before = self._before(waiter)
+        counts = collections.Counter(t.priority for t in before)
+        own_count = sum(t.flow == waiter.flow for t in before)
+        queue_s = sum(
+            count * self._rate(priority).interval_s(now)
+            for priority, count in counts.items()
+        )
+        own_s = own_count * self._rate(waiter.flow).interval_s(now)
+        return max(queue_s, own_s)
 
     def is_first(self, priority, waiter=None, account=''):
         """Return whether the request is next.
@@ -206,16 +274,25 @@
         return predicted_s > LOST_WAIT_FACTOR * left_s
 
     def room_after_s(self, wait, patience_s, now):
-        """Return when a new request would be in time, None if unknown.
+        """Return when a refused request may be repeated, None if unknown.
 
-        ``wait`` is the `Wait` of a request that is refused, ``patience_s``
-        how long it may wait when it is repeated.
+        ``wait`` is the `Wait` of the request, ``patience_s`` how long it may
+        wait when it is repeated.  Callers of its account that were told to
+        come back before it use the account's share until then.
         """
         newcomer = Waiter(wait.priority, now, 0.0, account=wait.account)
         before_s = self._wait_before_s(newcomer, now)
         if not before_s:
             return None
-        return queue_rate.limit_retry_after_s(before_s - patience_s)
+        interval_s = self._rate(wait.priority).interval_s(now)
+        accounts = {t.account for t in self.waiters} | {wait.account}
+        returning = self.returns.setdefault(wait.flow, queue_rate.Returns())
+        returning_s = returning.count(now) * interval_s * len(accounts)
+        room_s = queue_rate.limit_retry_after_s(
+            before_s + returning_s - NEW_WAIT_SHARE * patience_s
+        )
+        returning.add(now + room_s)
+        return room_s
 
     def first(self):
         """Return the first waiter that may be placed, None without one."""
