--- a/src/mangorock/backlog.py
+++ b/src/mangorock/backlog.py
@@ -145,6 +145,8 @@
         It had the position of the first of them.  Without this, prompts
         without an account would wait for all that overtake.
         """
+        if not assigned.request.account or not self._has_others():
+            return
         *group, last_s = _sort_key(assigned, now)
         rows = [
             (key[2], number, prompt)
@@ -153,12 +155,16 @@
             and (key := _sort_key(prompt, now))[:2] == tuple(group)
             and key[2] < last_s
         ]
-        if assigned.request.account and rows:
+        if rows:
             rows.sort()
             positions_s = [*(row[0] for row in rows[1:]), last_s]
             for row, next_s in zip(rows, positions_s, strict=True):
                 row[2].delay_s += next_s - row[0]
 
+    def _has_others(self):
+        """Return whether prompts without an account wait."""
+        return any(not p.request.account for p in self.prompts.values())
+
     def on_assigned(self):
         """Count an assignment."""
         self.turn = (self.turn + 1) % FAIR_TURN
