--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -8,12 +8,16 @@
 import heapq
 import random
 import unittest
+from unittest import mock
 
 import attrs
 import hypothesis
 from hypothesis import strategies
 
+from mangorock import consultation
+from mangorock import errors
 from mangorock import fairness
+from mangorock import gateway
 from mangorock import messages
 from mangorock import queue_rate
 from mangorock import scheduler
@@ -55,6 +59,7 @@
         self.order = []
         self.retry_after_s = []
         self.refused_at_once = self.refused_late = 0
+        self.has_new_ids = False
         self.events, self.count = [], 0
 
     def at(self, moment_s, action, *args):
@@ -108,6 +113,8 @@
         self.retry_after_s.append(room_s)
         retry_after_s = room_s or 1.0
         if repeat is not None:
+            if self.has_new_ids:
+                name = f'{name}+'
             delay_s = repeat(retry_after_s)
             priority, account = wait.flow
             self.at(now + delay_s, self._ask, account, priority, repeat, name)
@@ -285,15 +292,16 @@
         for number in range(20):
             rate.on_placed(float(number))
         self.assertGreater(rate.interval_s(19.0), 0.9)
-        rate.on_begin(19.0 + queue_rate.VALID_S + 1.0)
-        self.assertEqual(0.0, rate.interval_s(26.0))
+        rate.on_begin(60.0)
+        self.assertEqual(0.0, rate.interval_s(60.0))
 
 
 class Repeats(unittest.TestCase):
     """Refused requests are repeated before the time that was told."""
 
-    def run_repeats(self, repeat):
+    def run_repeats(self, repeat, has_new_ids=False):
         replay = QueueReplay()
+        replay.has_new_ids = has_new_ids
         for number in range(10):
             replay.load(f'a{number}', CAPACITY / 5, 0.0, 10.0)
         replay.load('repeats', CAPACITY / 5, 0.0, 10.0, repeat=repeat)
@@ -324,6 +332,29 @@
             queue.remove(first, True, 2.0)
         self.assertEqual([*waited, early], order)
 
+    def test_account_that_was_idle_gets_its_share_only(self):
+        # Guards against credit for the time without requests.
+        queue = waiting.WaitQueue(99)
+        queue.shares.on_placed_at_once((0, 'idle'))
+        for _ in range(50):
+            queue.shares.on_placed_at_once((0, 'a'))
+            queue.shares.on_placed_at_once((0, 'b'))
+        for name in ('a', 'b', 'idle') * 6:
+            queue.add(0, 1.0, 9.0, None, name)
+        served = collections.Counter()
+        for _ in range(9):
+            first = queue.first()
+            queue.remove(first, True, 2.0)
+            served[first.account] += 1
+        self.assertLessEqual(served['idle'], 4)
+
+    def test_repeats_under_new_ids_take_little_from_the_others(self):
+        # Guards against the minimum of an account's served share growing
+        # without a bound: repeats under other ids count as new requests.
+        without, _ = self.run_repeats(None)
+        least, _ = self.run_repeats(at_once, has_new_ids=True)
+        self.assertGreater(least, 0.8 * without)
+
     def test_repeat_that_comes_early_is_not_counted(self):
         shares = fairness.Shares()
         for now in (0.0, 0.5, 0.9, 3.0):
@@ -412,6 +443,35 @@
         self.assertIsInstance(message, messages.Rejection)
 
 
+class Messages(unittest.TestCase):
+    """What callers and other VMs are told."""
+
+    def test_refusal_says_not_run_only_if_that_is_certain(self):
+        # Guards against a retry that loses its place in the queue and is
+        # reported as not run although its first attempt may have run.
+        for may_have_run, run in (
+            (False, errors.Run.NOT_RUN),
+            (True, errors.Run.UNKNOWN),
+        ):
+            context = mock.Mock(may_have_run=may_have_run, service='s')
+            context.route.target_s = TARGET_S
+            made = gateway.Gateway._overloaded(
+                mock.Mock(retry_after_s=lambda: 1.0),
+                waiting.WaitQueue(8),
+                waiting.Wait(0, 1.0),
+                context,
+            )
+            self.assertEqual(run, made.run)
+
+    def test_earlier_builds_read_requests_without_an_account(self):
+        # Guards against a new field that they take for malformed.
+        request = test_scheduler.make_request('r')
+        self.assertNotIn(b'account', consultation.encode(1, request))
+        request = attrs.evolve(request, account='a')
+        data = consultation.encode(1, request)
+        self.assertEqual((1, request), consultation.decode(data))
+
+
 @SETTINGS
 @hypothesis.given(
     names=strategies.lists(strategies.sampled_from('abcd'), max_size=60),
