Test that prompts without an account are not pushed back

Cause: the mutation that hands on no positions was detected at the queue of a VM only. Change: the same test at the backlog of the scheduler. Result: it fails with the mutation and passes without; test_fairness, test_backlog and test_scheduler passed.

--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -14,6 +14,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from mangorock import backlog
 from mangorock import consultation
 from mangorock import errors
 from mangorock import fairness
@@ -425,6 +426,19 @@
         # The single seeds differ by 0.81 to 1.16.
         self.assertGreater(in_time['accounts'], 0.9 * in_time['none'])
 
+    def test_prompts_without_account_keep_their_positions(self):
+        # Guards against accounts that overtake prompts without one.
+        found = backlog.Backlog()
+        for number, account in enumerate(('a', 'a', '', 'b', '')):
+            request = test_scheduler.make_request(f'{number}', account=account)
+            found.add(backlog.WaitingPrompt(request, None, 5.0 + number, 90.0))
+        order = []
+        while prompts := found.ordered(0.0):
+            order.append(prompts[0].request.request_id)
+            found.remove(order[-1], True)
+            found.hand_on_position(prompts[0], 0.0)
+        self.assertEqual(['0', '3', '2', '1', '4'], order)
+
     def test_full_backlog_has_room_for_an_account_below_its_share(self):
         engines = test_scheduler.make_engines()
         found = scheduler.Scheduler(test_scheduler.PROFILE)
