--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -176,7 +176,7 @@
 
     def test_no_account_of_any_size_is_served_far_less_than_all(self):
         # Guards against equal shares: the largest account would be served
-        # 0.12 as often as all where twice the capacity is asked.
+        # 0.15 as often as all where twice the capacity is asked.
         for rate in (1.2 * CAPACITY, 2 * CAPACITY, 4 * CAPACITY):
             replay = self.load_sizes(rate)
             least = min(replay.share(account) for account in replay.asked)
