--- a/src/mangorock/backlog.py
+++ b/src/mangorock/backlog.py
@@ -10,13 +10,20 @@
   since a late answer is worth more to its caller than none.
 * Callers that give up: their prompts leave the queue as soon as no engine
   can answer before that.
+* An account that sends more than its share: `fairness.Shares` divides the
+  places of one priority, and those of late prompts, among the accounts.
 """
 
 import attrs
 
+from mangorock import fairness
+
 # Of this many prompts assigned in a row, the last goes to the prompt whose
 # latest start comes first, whatever its priority.
 FAIR_TURN = 8
+# A waiting prompt is refused if its wait is predicted to be this many times
+# longer than its caller's, since a prediction may be wrong.
+LOST_WAIT_FACTOR = 1.5
 
 
 @attrs.define(eq=False)
@@ -26,7 +33,8 @@
     ``target_at_s`` is when its first event is late, ``gives_up_at_s`` when
     its caller gives up, and ``shortest_s`` the expected time to its first
     event from its assignment to an idle engine.  ``reply(message)`` sends a
-    message to the VM that asked.
+    message to the VM that asked.  ``flow`` is the flow whose share it uses,
+    and ``delay_s`` how much later than its own its position is.
     """
 
     request: object
@@ -35,6 +43,11 @@
     gives_up_at_s: float
     shortest_s: float = 0.0
     cost_s: float = 0.0
+    delay_s: float = 0.0
+    flow: tuple = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.flow = self.request.priority, self.request.account
 
     def may_be_in_time(self, now):
         """Return whether its first event can come before the target."""
@@ -51,10 +64,13 @@
 
     prompts: dict = attrs.field(factory=dict)
     turn: int = 0
+    shares: fairness.Shares = attrs.field(factory=fairness.Shares)
 
     def add(self, prompt):
         """Add a prompt; one with the same request id is replaced."""
+        self.remove(prompt.request.request_id)
         self.prompts[prompt.request.request_id] = prompt
+        self.shares.on_wait(prompt.flow)
 
     def refresh(self, request, reply, now):
         """Update a prompt that waits already; return whether it does."""
@@ -65,37 +81,106 @@
         known.gives_up_at_s = min(known.gives_up_at_s, now + request.left_s)
         return True
 
-    def remove(self, request_id):
-        """Remove a prompt and return it, None if it does not wait."""
-        return self.prompts.pop(request_id, None)
+    def remove(self, request_id, is_served=None):
+        """Remove a prompt and return it, None if it does not wait.
+
+        ``is_served`` says whether it was assigned or refused; it is None if
+        neither, as for a caller that has gone.
+        """
+        prompt = self.prompts.pop(request_id, None)
+        if prompt is not None:
+            self.shares.on_leave(prompt.flow, is_served)
+        return prompt
 
     def take_lost(self, now):
         """Remove and return the prompts that no engine can serve any more."""
         lost = [p for p in self.prompts.values() if p.is_lost(now)]
         for prompt in lost:
-            del self.prompts[prompt.request.request_id]
+            self.remove(prompt.request.request_id, False)
         return lost
 
+    def take_outrun(self, ordered, engine_count, now):
+        """Remove and return the prompts whose turn will come too late.
+
+        ``ordered`` are the prompts, the next one first.  Those before a
+        prompt are shared by ``engine_count`` engines.
+        """
+        outrun, before_s = [], 0.0
+        for prompt in ordered:
+            start_s = now + before_s / engine_count / LOST_WAIT_FACTOR
+            if prompt.request.account and prompt.is_lost(start_s):
+                self.remove(prompt.request.request_id, False)
+                outrun.append(prompt)
+            else:
+                before_s += prompt.cost_s
+        return outrun
+
+    def take_displaced(self, newcomer, now):
+        """Remove and return the prompt that gives way to another, or None."""
+        ordered = self._by_shares([*self.prompts.values(), newcomer], now)
+        displaced = self.shares.displaced(ordered, newcomer)
+        if displaced is not None:
+            self.remove(displaced.request.request_id, False)
+        return displaced
+
     def ordered(self, now):
         """Return the prompts, the next one first."""
-        prompts = sorted(
-            self.prompts.values(), key=lambda p: _sort_key(p, now)
-        )
+        prompts = self._by_shares(self.prompts.values(), now)
         if self.turn + 1 >= FAIR_TURN:
             return _with_fair_turn(prompts, now)
         return prompts
 
+    def _by_shares(self, prompts, now):
+        prompts = list(prompts)
+        keys = [_sort_key(prompt, now) for prompt in prompts]
+        numbers = sorted(range(len(prompts)), key=keys.__getitem__)
+        ordered = [prompts[n] for n in numbers]
+        if not self.shares.levels:
+            return ordered
+        return self.shares.order(ordered, [keys[n][:2] for n in numbers])
+
+    def hand_on_position(self, assigned, now):
+        """Move the accounts' prompts that an assigned one overtook back.
+
+        It had the position of the first of them.  Without this, prompts
+        without an account would wait for all that overtake.
+        """
+        if not assigned.request.account or not self._has_others():
+            return
+        *group, last_s = _sort_key(assigned, now)
+        rows = [
+            (key[2], number, prompt)
+            for number, prompt in enumerate(self.prompts.values())
+            if prompt.request.account
+            and (key := _sort_key(prompt, now))[:2] == tuple(group)
+            and key[2] < last_s
+        ]
+        if rows:
+            rows.sort()
+            positions_s = [*(row[0] for row in rows[1:]), last_s]
+            for row, next_s in zip(rows, positions_s, strict=True):
+                row[2].delay_s += next_s - row[0]
+
+    def _has_others(self):
+        """Return whether prompts without an account wait."""
+        return any(not p.request.account for p in self.prompts.values())
+
     def on_assigned(self):
         """Count an assignment."""
         self.turn = (self.turn + 1) % FAIR_TURN
 
     def work_before_s(self, prompt, now):
-        """Return the prefill seconds of the prompts that go before one."""
+        """Return the prefill seconds of the prompts that go before one.
+
+        Those of the same urgency and latest start do not count.
+        """
+        others = [p for p in self.prompts.values() if p is not prompt]
+        ordered = self._by_shares([*others, prompt], now)
         own_key = _sort_key(prompt, now)
         return sum(
             p.cost_s
-            for p in self.prompts.values()
-            if p is not prompt and _sort_key(p, now) < own_key
+            for p in ordered[: ordered.index(prompt)]
+            if _sort_key(p, now) != own_key
         )
 
     def work_s(self):
@@ -106,14 +191,22 @@
 def _sort_key(prompt, now):
     if prompt.may_be_in_time(now):
         latest_start_s = prompt.target_at_s - prompt.shortest_s
-        return 0, prompt.request.priority, latest_start_s
-    return 1, 0, prompt.gives_up_at_s - prompt.shortest_s
+        position_s = latest_start_s + prompt.delay_s
+        return 0, prompt.request.priority, position_s
+    return 1, 0, prompt.gives_up_at_s - prompt.shortest_s + prompt.delay_s
 
 
 def _with_fair_turn(prompts, now):
-    """Move the prompt in time with the first latest start to the front."""
-    in_time = [p for p in prompts if p.may_be_in_time(now)]
-    if not in_time:
+    """Move the prompt in time with the first latest start to the front.
+
+    Only the next prompt of each priority is considered: the order within one
+    priority is that of the accounts' shares.
+    """
+    heads = {}
+    for prompt in prompts:
+        if prompt.may_be_in_time(now):
+            heads.setdefault(prompt.request.priority, prompt)
+    if not heads:
         return prompts
-    first = min(in_time, key=lambda p: p.target_at_s - p.shortest_s)
+    first = min(heads.values(), key=lambda p: p.target_at_s - p.shortest_s)
     return [first, *(p for p in prompts if p is not first)]
