--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -368,7 +368,12 @@
                 | messages.PartQuarantined()
             ):
                 await self.on_part_message(message)
-            case messages.DemandSample() | messages.DemandTaken():
+            case (
+                messages.DemandSample()
+                | messages.DemandTaken()
+                | messages.UsageCounts()
+                | messages.UsageTaken()
+            ):
                 self._handle_duty_message(number, message, sender)
             case _:
                 pending = self.pending_replies.get(number)
--- a/src/mangorock/context.py
+++ b/src/mangorock/context.py
@@ -24,7 +24,8 @@
 
     ``ledger`` has all its sends to servers of ``service``, ``sends`` counts
     those that did not only prefill the prompt.  ``account`` is the
-    `catalog.Account` of its key, None if it needs none.
+    `catalog.Account` of its key, None if it needs none.  ``counted_window`` is
+    the window of the usage reports that counts it, None if none does.
     """
 
     request: object
@@ -44,6 +45,7 @@
     prompt_read_at_s: float = 0.0
     first_event_at_s: float = 0.0
     server_ids: str = ''
+    counted_window: int | None = None
 
     @property
     def priority(self):
--- a/src/mangorock/duty_loop.py
+++ b/src/mangorock/duty_loop.py
@@ -36,7 +36,8 @@
     ``counter`` and ``totals`` are the `demand.DemandCounter` and the
     `demand.DemandTotals` of this VM.  ``jobs`` have a coroutine
     ``step(holder)`` each, called while this VM holds the duties, and
-    ``reset()``, called when it begins to.
+    ``reset()``, called when it begins to.  ``usage`` is the
+    `usage_exchange.UsageExchange`, None where usage is not reported.
     """
 
     endpoint: object
@@ -44,6 +45,7 @@
     counter: demand.DemandCounter
     totals: demand.DemandTotals
     jobs: list = attrs.field(factory=list)
+    usage: object = None
     clock: object = time.monotonic
     asked: set = attrs.field(factory=set)
     heard_s: dict = attrs.field(factory=dict)
@@ -56,6 +58,8 @@
             await curio.sleep(INTERVAL_S)
             try:
                 self.send_samples()
+                if self.usage is not None:
+                    self.usage.send_due()
                 await self.step()
             except errors.MangorockError as exc:
                 logs.event('duties_not_done', error=exc.message)
@@ -104,21 +108,36 @@
                 self._record(self.holder.vm, rows, now)
                 continue
             self.asked.add(peer.vm)
-            message = messages.DemandSample(self.holder.vm, rows[:MAX_ROWS])
+            message = messages.DemandSample(
+                self.holder.vm, rows[:MAX_ROWS], self._own_unix_s()
+            )
             self.endpoint.send_to(peer, message)
 
     def _record(self, vm, rows, now):
         self.totals.on_sample(vm, [demand.Sample(*row) for row in rows], now)
 
+    def _own_unix_s(self):
+        """Return this VM's time, 0 where no report needs it."""
+        return self.usage.own_unix_s() if self.usage is not None else 0.0
+
+    def _on_time(self, vm, unix_s):
+        if self.usage is not None and unix_s:
+            self.usage.on_time(vm, unix_s)
+
     def on_message(self, message):
         """Take a message of another VM; return the answer, None for none."""
         now = self.clock()
         match message:
-            case messages.DemandSample(vm, rows):
+            case messages.DemandSample(vm, rows, unix_s):
                 self._record(vm, rows, now)
-                return messages.DemandTaken(self.holder.vm)
-            case messages.DemandTaken(vm):
+                self._on_time(vm, unix_s)
+                return messages.DemandTaken(self.holder.vm, self._own_unix_s())
+            case messages.DemandTaken(vm, unix_s):
+                self._on_time(vm, unix_s)
                 self.asked.discard(vm)
                 self.heard_s[vm] = now
                 self.endpoint.directory.on_reply(vm)
+            case messages.UsageCounts() | messages.UsageTaken():
+                if self.usage is not None:
+                    return self.usage.on_message(message)
         return None
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -36,6 +36,7 @@
 from mangorock import staging
 from mangorock import subscription
 from mangorock import turns
+from mangorock import usage_reports
 from mangorock import wakeup
 
 CONNECT_TIMEOUT_S = 0.5  # A hundred round trips between failure domains.
@@ -88,6 +89,7 @@
         self.was_ready = False
         self.store = None
         self.directory = None
+        self.usage_exchange = None
         self.tasks = []
         self.subscription = None
 
@@ -235,6 +237,18 @@
             loop.jobs.append(
                 server_orders.ServerOrders(self.gateway, api, totals)
             )
+        if settings.duties.reports_usage:
+            reports = usage_reports.make_reports(
+                settings.vm,
+                settings.duties,
+                endpoint,
+                store,
+                api,
+                self.metrics,
+            )
+            loop.usage = self.usage_exchange = reports.exchange
+            self.gateway.usage = reports.exchange.counter
+            loop.jobs.append(reports)
         endpoint.on_duty_message = loop.on_message
         await self.spawn(loop.run)
 
@@ -345,7 +359,11 @@
         """
         self.is_stopping = True
         self.shutdown.begin(self.settings.grace_s)
-        return await self.shutdown.run()
+        is_clean = await self.shutdown.run()
+        if self.usage_exchange is not None:
+            left_s = self.gateway.stops_at_s - time.monotonic()
+            await self.usage_exchange.flush(left_s)
+        return is_clean
 
     async def close(self):
         """Cancel the tasks in reverse order; idempotent."""
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -16,6 +16,7 @@
 from mangorock import admission
 from mangorock import budget
 from mangorock import catalog as catalogs
+from mangorock import clocks
 from mangorock import demand as demands
 from mangorock import errors
 from mangorock import generation
@@ -32,6 +33,7 @@
 from mangorock import sending
 from mangorock import silence
 from mangorock import traffic
+from mangorock import usage as usages
 from mangorock import waiting
 
 # Requests per service that may wait for a server with a free slot.
@@ -78,6 +80,7 @@
         factory=revocation.KeyConfirmation
     )
     demand: demands.DemandCounter = attrs.field(factory=demands.DemandCounter)
+    usage: usages.UsageCounter | None = None
     stops_at_s: float | None = None
 
     def __attrs_post_init__(self):
@@ -257,10 +260,22 @@
         )
         context.sends += 1
         may_have_run_before, context.may_have_run = context.may_have_run, True
+        is_counted = self.count_start(context)
         outcome = await self.sender.call(context.request, dispatch, limits)
         context.record_outcome(outcome, may_have_run_before)
+        has_not_run = isinstance(
+            outcome, (sending.Unreachable, sending.Refused)
+        )
+        if is_counted and has_not_run:
+            self.usage.undo(context)
         return outcome
 
+    def count_start(self, context):
+        """Count a request for the usage reports; return whether it was."""
+        if self.usage is None:
+            return False
+        return self.usage.begin(context, clocks.boot_clock())
+
     def can_replace(self, context, server, place):
         """Say whether a silent server's request can go to another one.
 
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -342,6 +342,7 @@
 
     def _on_first_event(self, answer):
         """Record that the prompt is processed; report the engine load."""
+        self.gateway.count_start(self.context)
         seconds = self.pending_prompt.complete()
         self._notify_scheduler(
             seconds, self.relay.server.server_id, answer.load
--- a/src/mangorock/messages.py
+++ b/src/mangorock/messages.py
@@ -4,10 +4,10 @@
 a `Rejection`, or `Queued` and one of the others later.  `Outcome` reports
 what became of an assigned prompt.  `StageRequest` and `EnginePause` concern
 stage changes of engines, `CrashReport`, `PartsServed` and `PartQuarantined`
-parts of prompts that crash engines, `DemandSample` and `DemandTaken` the
-duties of the system.  Any VM may be of another build or
-faulty, so every field is validated: a message with a field that makes no sense
-is not created.
+parts of prompts that crash engines, `DemandSample`, `DemandTaken`,
+`UsageCounts` and `UsageTaken` the duties of the system.  Any VM may be of
+another build or faulty, so every field is validated: a message with a field
+that makes no sense is not created.
 """
 
 import math
@@ -23,11 +23,12 @@
 MAX_TOKENS = 100_000_000
 MAX_SECONDS = 1_000_000.0
 MAX_COUNT = 1_000_000
+MAX_TEXT_CHARS = 400
 MAX_PRIORITY = 1000
 MAX_UNIX_MS = 10**14
 
 _text = attrs.validators.and_(
-    attrs.validators.instance_of(str), attrs.validators.max_len(400)
+    attrs.validators.instance_of(str), attrs.validators.max_len(MAX_TEXT_CHARS)
 )
 _texts = attrs.validators.deep_iterable(_text)
 
@@ -63,6 +64,10 @@
 _positive_seconds = _make_number_validator(0.0, MAX_SECONDS)
 _count = _make_number_validator(0, MAX_COUNT)
 _milliseconds = _make_number_validator(0, MAX_UNIX_MS)
+_integer = attrs.validators.and_(
+    attrs.validators.instance_of(int), _milliseconds
+)
+_unix_seconds = _make_number_validator(0, MAX_UNIX_MS / 1000)
 _priority = _make_number_validator(RESUMED_PRIORITY, MAX_PRIORITY)
 
 
@@ -225,7 +230,8 @@
     """The demand at a VM since its last sample.
 
     A row stands for a service: its name, the requests that are open, and
-    those that ended, were late and were refused.
+    those that ended, were late and were refused.  ``unix_s`` is the sender's
+    time, 0 if it is not told.
     """
 
     vm: str = attrs.field(validator=_text)
@@ -233,6 +239,7 @@
         validator=_make_rows_validator(_text, _count, _count, _count, _count),
         converter=tuple,
     )
+    unix_s: float = attrs.field(validator=_unix_seconds, default=0.0)
 
 
 @attrs.frozen
@@ -240,6 +247,34 @@
     """The answer to a `DemandSample`, from the VM that takes it."""
 
     vm: str = attrs.field(validator=_text)
+    unix_s: float = attrs.field(validator=_unix_seconds, default=0.0)
+
+
+@attrs.frozen
+class UsageCounts:
+    """A piece of a VM's counts for one window, number ``piece`` of ``pieces``.
+
+    A row has the name of an account and its requests.  ``run`` is the start of
+    the VM's process, since a restarted one counts anew.
+    """
+
+    vm: str = attrs.field(validator=_text)
+    run: int = attrs.field(validator=_integer)
+    window: int = attrs.field(validator=_integer)
+    piece: int = attrs.field(validator=_integer)
+    pieces: int = attrs.field(validator=_integer)
+    rows: tuple = attrs.field(
+        validator=_make_rows_validator(_text, _count), converter=tuple
+    )
+
+
+@attrs.frozen
+class UsageTaken:
+    """The answer to a `UsageCounts`, from the VM that takes it."""
+
+    vm: str = attrs.field(validator=_text)
+    window: int = attrs.field(validator=_integer)
+    piece: int = attrs.field(validator=_integer)
 
 
 KINDS = (
@@ -256,4 +291,6 @@
     PartQuarantined,
     DemandSample,
     DemandTaken,
+    UsageCounts,
+    UsageTaken,
 )
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -181,6 +181,11 @@
             page = {'items': items[:2], 'hasMore': len(items) > 2}
             page['storeRevision'] = self.revision
             return await responder.respond(200, page)
+        if path == '/-/kv-key':
+            item = self.items.get(query['key'])
+            if item is None:
+                return await responder.respond(404, b'')
+            return await responder.respond(200, item)
         return await self._watch(query, responder)
 
     async def _lose_if_silent(self):
@@ -200,7 +205,12 @@
             lease = int(request.path.rpartition('/')[2])
             status = 200 if lease == self.last_lease else 404
             return await responder.respond(status, {})
-        for item in request.json()['setKeys']:
+        body = request.json()
+        for row in body['expected']:
+            known = self.items.get(row['key'], {'revision': 0})
+            if known['revision'] != row['revision']:
+                return await responder.respond(412, b'')
+        for item in body['setKeys']:
             self.put(item['key'], base64.b64decode(item['value']))
         return await responder.respond(200, {'revision': self.revision})
 
