Account for all that a process holds for others

Cause: each body, head and answer had a limit of its own, their sum and the number of connections had none, and the kernel's buffers grew to megabytes.

Change: buffers.Buffers is the one account of connections, requests, answers and streams, with the kernel's bytes counted every 0.5 s. Above 3/4 of its bound (0.2 of limits.memoryMb, as before) those who hold more than a share are not read for at most 1 s and then refused with 503 as not run; at the bound those are cut off who hold most and transfer least. Accepting and reading wait while the memory of those is not free yet. A body that is announced as too long is refused before it is read; long bodies and answers are written without a copy. Connections of callers have 0.7 of the sockets: beyond that idle ones are closed, then those that did not complete a request for longest. The late request of test_unanswered comes with the first wait that is cancelled, as that wait is a peek now; without the guard in _receive_last the test still fails.

--- a/src/mangorock/client.py
+++ b/src/mangorock/client.py
@@ -15,6 +15,7 @@
 
 from mangorock import buffers
 from mangorock import logs
+from mangorock import sockets
 from mangorock import turns
 
 READ_BYTES = 65536
@@ -34,9 +35,6 @@
 # server may respond before it has read the whole body.
 LONG_BODY_BYTES = 16384
 METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
-# TCP keep-alive probes detect a dead connection within three seconds.
-TCP_KEEP_ALIVE_INTERVAL_S = 1
-TCP_KEEP_ALIVE_PROBES = 2
 
 
 class AnswerTooLongError(OSError):
@@ -87,17 +85,22 @@
             head.append(('content-length', str(len(body))))
         self.request = h11.Request(method=method, target=path, headers=head)
         data = self.conn.send(self.request)
-        data += self.conn.send(h11.Data(data=body)) if body else b''
-        data += self.conn.send(h11.EndOfMessage())
+        if body:
+            self.conn.send(h11.Data(data=body))
+        self.conn.send(h11.EndOfMessage())
         self.is_send_started = True
         if len(body) > LONG_BODY_BYTES:
-            self.write_task = await curio.spawn(self._write, data, daemon=True)
+            self.write_task = await curio.spawn(
+                self._write, data, body, daemon=True
+            )
         else:
-            await self.sock.sendall(data)
+            await self.sock.sendall(data + body)
 
-    async def _write(self, data):
+    async def _write(self, head, body):
+        # Not joined, as that would copy a long body.
         try:
-            await self.sock.sendall(data)
+            await self.sock.sendall(head)
+            await self.sock.sendall(body)
         except OSError as exc:
             # Reading the response fails too, and reports the error.
             logs.debug('body_not_sent', server=self.address, error=repr(exc))
@@ -246,12 +249,16 @@
         connect_timeout_s=2.0,
         send_timeout_s=None,
         shared_turns=None,
-        max_held_bytes=buffers.DEFAULT_MAX_BYTES,
+        held=None,
+        max_sockets=None,
     ):
         self.connect_timeout_s = connect_timeout_s
         self.send_timeout_s = send_timeout_s
         self.turns = shared_turns or turns.Turns()
-        self.held = buffers.Buffers(max_held_bytes)
+        self.held = held or buffers.Buffers()
+        # At most so many connections are kept, None: no limit of their own.
+        self.max_sockets = max_sockets
+        self.open_count = 0
         self.idle_connections = collections.defaultdict(collections.deque)
         self.opened_count = 0
 
@@ -270,12 +277,14 @@
             if max_idle_s is not None and now - idle_since_s > max_idle_s:
                 break
             connections.pop()
-            if now < expires_s and is_connection_idle(sock):
+            if now < expires_s and sockets.is_connection_idle(sock):
                 conn.start_next_cycle()
                 return self._make_exchange(address, sock, conn, True)
-            await sock.close()
+            await self._close(sock)
+        await self._close_surplus()
         sock = await self._connect(address)
         self.opened_count += 1
+        self.open_count += 1
         conn = h11.Connection(h11.CLIENT)
         return self._make_exchange(address, sock, conn, False)
 
@@ -288,7 +297,9 @@
         # thread of its own.
         host, _, port = address.rpartition(':')
         sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        set_socket_options(sock, self.send_timeout_s)
+        sockets.set_socket_options(sock, self.send_timeout_s)
+        if self.max_sockets is not None:
+            sockets.limit_buffers(sock)
         try:
             async with curio.timeout_after(self.connect_timeout_s):
                 await sock.connect((host, int(port)))
@@ -322,14 +333,32 @@
         self.held.remove(exchange)
         if exchange.write_task is not None:
             await exchange.write_task.cancel()
-        await exchange.sock.close()
+        await self._close(exchange.sock)
+
+    async def _close(self, sock):
+        self.open_count -= 1
+        await sock.close()
+
+    async def _close_surplus(self):
+        """Close idle connections beyond ``max_sockets``, the oldest first."""
+        if self.max_sockets is None or self.open_count < self.max_sockets:
+            return
+        idle = sorted(
+            (connections[0][2], address)
+            for address, connections in self.idle_connections.items()
+            if connections
+        )
+        for _, address in idle:
+            connections = self.idle_connections[address]
+            while connections and self.open_count >= self.max_sockets:
+                await self._close(connections.popleft()[0])
 
     async def close_expired(self):
         """Close pooled connections that have exceeded their idle timeout."""
         now = await curio.clock()
         for address, connections in list(self.idle_connections.items()):
             while connections and connections[0][3] <= now:
-                await connections.popleft()[0].close()
+                await self._close(connections.popleft()[0])
             if not connections:
                 del self.idle_connections[address]
 
@@ -364,34 +393,5 @@
         """Close all pooled connections."""
         for connections in self.idle_connections.values():
             for sock, *_ in connections:
-                await sock.close()
+                await self._close(sock)
         self.idle_connections.clear()
-
-
-def is_connection_idle(sock):
-    """Return whether a connection is open and has no unread bytes."""
-    try:
-        # The underlying socket is non-blocking; curio's ``recv`` would wait.
-        sock._socket.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
-def set_socket_options(sock, send_timeout_s=None):
-    """Disable Nagle's algorithm and detect dead connections.
-
-    Keep-alive and the write timeout are set only with ``send_timeout_s``.
-    """
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
-    if send_timeout_s is None:
-        return
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, TCP_KEEP_ALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, TCP_KEEP_ALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, TCP_KEEP_ALIVE_PROBES)
-    timeout_ms = int(send_timeout_s * 1000)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, timeout_ms)
--- a/src/mangorock/exposition.py
+++ b/src/mangorock/exposition.py
@@ -33,6 +33,12 @@
             buckets=BUCKETS_S,
             registry=self.registry,
         )
+        self.gauge = prometheus_client.Gauge(
+            'mangorock_held',
+            'What is held at the moment, by name.',
+            ['name'],
+            registry=self.registry,
+        )
         for name in self.counts:
             self.counter.labels(name)
 
@@ -41,6 +47,10 @@
         self.counts[name] = self.counts.get(name, 0) + count
         self.counter.labels(name).inc(count)
 
+    def set_gauge(self, name, value):
+        """Set the gauge ``name``."""
+        self.gauge.labels(name).set(value)
+
     def timing(self, name, seconds):
         """Add a duration in seconds to the histogram ``name``."""
         self.histogram.labels(name).observe(seconds)
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -14,9 +14,11 @@
 import curio.errors
 
 from mangorock import budget
+from mangorock import buffers
 from mangorock import client as clients
 from mangorock import consultation
 from mangorock import demand
+from mangorock import descriptors
 from mangorock import discovery
 from mangorock import duty_calls
 from mangorock import duty_loop
@@ -62,11 +64,14 @@
         self.rng = random.Random()
         self.metrics = exposition.make_prometheus_metrics()
         shared_turns = turns.Turns()
+        self.account = buffers.Buffers(settings.max_held_bytes)
+        self.shares = descriptors.SocketShares(settings.max_sockets)
         self.client = clients.Client(
             CONNECT_TIMEOUT_S,
             SEND_TIMEOUT_S,
             shared_turns,
-            settings.max_held_bytes,
+            self.account,
+            self.shares.max_reserved,
         )
         self.gateway = gateways.Gateway(
             platform.wire,
@@ -81,6 +86,14 @@
             lambda: self.gateway.catalog.limits,
             platform.wire.encode_refusal,
             shared_turns,
+            self.account,
+            lambda: self.shares.max_callers(self.client.open_count),
+        )
+        self.account.on_cut = lambda kind: self.metrics.add(
+            f'cut_off.{kind.value}'
+        )
+        self.ingress.on_closed = lambda count: self.metrics.add(
+            'closed.descriptors', count
         )
         self.shutdown = shutdown.Shutdown(self.ingress, self.gateway)
         self.gateway.keys.bound_s = settings.revocation_s
@@ -107,6 +120,7 @@
         callers = http.listen(*settings.caller_address)
         probes = http.listen(*settings.ready_address)
         await self.ingress.start(callers)
+        await self.spawn(self.ingress.count_unread)
         await self.spawn(
             http.serve, probes, self._answer_probe, ingresses.MAX_PROBE_BYTES
         )
@@ -332,6 +346,12 @@
         await responder.respond(200 if is_ready else 503, b'')
 
     async def _answer_scrape(self, request, responder):
+        for kind, count in self.account.held_bytes().items():
+            self.metrics.set_gauge(f'bytes.{kind}', count)
+        self.metrics.set_gauge(
+            'descriptors.callers', len(self.ingress.connections)
+        )
+        self.metrics.set_gauge('descriptors.others', self.client.open_count)
         await responder.respond(
             200,
             exposition.render(self.metrics),
--- a/src/mangorock/ingress.py
+++ b/src/mangorock/ingress.py
@@ -7,30 +7,38 @@
 """
 
 import enum
+import math
 import socket
-import struct
 import time
 
-import attrs
 import curio
 import curio.errors
 import curio.io
 import h11
 
-from mangorock import client
+from mangorock import buffers
+from mangorock import connections
+from mangorock import descriptors
 from mangorock import errors
 from mangorock import logs
 from mangorock import reading
+from mangorock import sockets
 from mangorock import turns
 
-# Closes a connection with a reset, so that a truncated answer cannot look
-# complete.
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 CHUNKED_HEADER = (b'transfer-encoding', b'chunked')
 MAX_PROBE_BYTES = 4096
 ACCEPT_RETRY_S = 0.05
-# Longer than a caller's first request takes to follow its connection.
-MIN_IDLE_S = 0.2
+# Pieces in which a long answer is written, to see whether it is taken.
+WRITE_BYTES = 65536
+# Times that the loop runs to close connections before one more is accepted.
+CLOSING_ROUNDS = 3
+# How often and at which interval accepting waits for connections to close.
+MAX_CLOSING_CHECKS = 20
+CLOSING_CHECK_S = 0.005
+# A refusal that the caller does not take is given up after this.
+REFUSAL_S = 2.0
+COUNT_INTERVAL_S = 0.5
+LOG_INTERVAL_S = 1.0
 
 
 class StopReached(curio.errors.TaskCancelled):
@@ -55,9 +63,10 @@
     then has another cause.
     """
 
-    def __init__(self, sock, conn, must_close):
-        self.sock = sock
-        self.conn = conn
+    def __init__(self, connection, must_close):
+        self.connection = connection
+        self.sock = connection.sock
+        self.conn = connection.conn
         self.must_close = must_close
         self.is_started = False
         self.progress = Progress.NONE
@@ -67,9 +76,11 @@
         """Send a complete answer."""
         head = [*headers, (b'content-length', str(len(body)).encode())]
         data = self._encode_head(status, head)
-        data += self.conn.send(h11.Data(data=body)) if body else b''
-        data += self.conn.send(h11.EndOfMessage())
-        await self._write(data, Progress.WHOLE)
+        body = self.conn.send(h11.Data(data=body)) if body else b''
+        self.conn.send(h11.EndOfMessage())
+        if len(body) <= WRITE_BYTES:
+            data, body = data + body, b''
+        await self._write(data, Progress.WHOLE, body)
 
     async def start(self, status, headers, data=b''):
         """Send the head of a streamed answer and its first bytes."""
@@ -95,44 +106,27 @@
         """End a streamed answer."""
         await self._write(self.conn.send(h11.EndOfMessage()), Progress.WHOLE)
 
-    async def _write(self, data, progress):
+    async def _write(self, data, progress, body=b''):
+        """Write ``data`` and ``body``, which is not copied."""
+        self.connection.begin_write(len(data) + len(body))
         try:
             await self.sock.sendall(data)
+            for offset in range(0, len(body), WRITE_BYTES):
+                piece = memoryview(body)[offset : offset + WRITE_BYTES]
+                await self.sock.sendall(piece)
+                self.connection.on_written(len(piece))
         except OSError as exc:
             self.caller_error = repr(exc)
             raise
         self.progress = progress
+        self.connection.end_write()
 
     def abort(self):
         """Have the connection reset on close, as the answer is incomplete."""
-        self.sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-        )
+        self.connection.reset_on_close()
         self.conn.send_failed()
 
 
-@attrs.define
-class Connection:
-    """A caller's connection, and since when it waits for a request.
-
-    ``reply`` is that of the request that is being handled, or None.
-    """
-
-    sock: object
-    conn: h11.Connection
-    waits_since_s: float
-    reply: Reply | None = None
-
-    def is_idle(self, now):
-        """Say whether nothing has come for `MIN_IDLE_S`."""
-        return (
-            self.conn.our_state is h11.IDLE
-            and now - self.waits_since_s >= MIN_IDLE_S
-            and not self.conn.trailing_data[0]
-            and client.is_connection_idle(self.sock)
-        )
-
-
 class Ingress:
     """Serves callers' connections, with explicit `start` and `close`.
 
@@ -140,10 +134,24 @@
     ``get_limits()`` returns the `catalog.CallerLimits` in force;
     ``encode_refusal(error)`` returns (status, headers, body) for a request
     that cannot be read.  ``shared_turns`` are the `turns.Turns` of the
-    process.
+    process and ``account`` its `buffers.Buffers`.
+    ``get_max_connections()`` returns how many connections there may be.
     """
 
-    def __init__(self, handler, get_limits, encode_refusal, shared_turns=None):
+    def __init__(
+        self,
+        handler,
+        get_limits,
+        encode_refusal,
+        shared_turns=None,
+        account=None,
+        get_max_connections=lambda: math.inf,
+    ):
+        self.account = account or buffers.Buffers()
+        self.get_max_connections = get_max_connections
+        self.logged_s = -LOG_INTERVAL_S
+        self.unlogged_closings = 0
+        self.on_closed = None
         self.handler = handler
         self.get_limits = get_limits
         self.encode_refusal = encode_refusal
@@ -159,6 +167,7 @@
     async def start(self, listener):
         """Accept connections on a listening socket."""
         self.listener = listener
+        sockets.limit_buffers(listener)
         self.accepting = await curio.spawn(self._accept, daemon=True)
 
     async def close(self):
@@ -198,20 +207,82 @@
                 await curio.sleep(ACCEPT_RETRY_S)
                 continue
             await self.start_connection(accepted)
+            await self._wait_for_closing()
+
+    async def _wait_for_closing(self):
+        """Accept nothing while the memory of closed connections is in use."""
+        for _ in range(MAX_CLOSING_CHECKS):
+            if not self.account.is_behind:
+                return
+            await curio.sleep(CLOSING_CHECK_S)
 
     async def start_connection(self, sock):
         """Serve a caller's connection until it ends."""
-        client.set_socket_options(sock)
+        sockets.set_socket_options(sock)
         conn = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=self.get_limits().max_head_bytes,
         )
-        connection = Connection(sock, conn, time.monotonic())
+        connection = connections.Connection(
+            sock, conn, time.monotonic(), self.account
+        )
         task = await curio.spawn(
             self._serve_connection, connection, daemon=True
         )
         # Counted before its task runs, so that a stop waits for it.
         self.connections[task] = connection
+        connection.read(0)
+        await self._keep_limit()
+
+    async def _keep_limit(self):
+        """Close connections beyond the limit, and wait until they are.
+
+        Those that are idle or did not complete a request for longest go
+        first.
+        """
+        limit, now = self.get_max_connections(), time.monotonic()
+        if len(self.connections) <= limit:
+            return
+        peers = [
+            descriptors.Peer(
+                connection,
+                connection.is_idle(now),
+                connection.reply is not None,
+                connection.waits_since_s,
+            )
+            for connection in self.connections.values()
+            if not connection.is_cut
+        ]
+        chosen = descriptors.choose_closed(peers, limit)
+        for connection in chosen:
+            connection.cut()
+        self._log_closed(chosen, limit, now)
+        for _ in range(CLOSING_ROUNDS):
+            if len(self.connections) <= limit:
+                return
+            await curio.sleep(0)
+
+    def _log_closed(self, chosen, limit, now):
+        self.unlogged_closings += len(chosen)
+        if self.on_closed is not None and chosen:
+            self.on_closed(len(chosen))
+        if not chosen or now - self.logged_s < LOG_INTERVAL_S:
+            return
+        logs.warning(
+            'connections_closed',
+            reason='descriptors',
+            count=self.unlogged_closings,
+            open=len(self.connections),
+            limit=limit,
+        )
+        self.logged_s, self.unlogged_closings = now, 0
+
+    async def count_unread(self):
+        """Count what the kernel holds for the connections, forever."""
+        while True:
+            await curio.sleep(COUNT_INTERVAL_S)
+            for connection in list(self.connections.values()):
+                connection.count_unread()
 
     async def _serve_connection(self, connection):
         task = await curio.current_task()
@@ -220,21 +291,22 @@
             async with sock:
                 while await self._serve_request(task, connection):
                     conn.start_next_cycle()
-                    connection.waits_since_s = time.monotonic()
+                    connection.begin_cycle(time.monotonic())
         except OSError as exc:
             logs.debug('connection_ended', error=repr(exc))
         except Exception as exc:
             logs.exception('connection_failed', error=repr(exc))
             raise
         finally:
+            connection.close()
             del self.connections[task]
 
     async def _serve_request(self, task, connection):
         """Serve one request; return whether the connection may be reused."""
         sock, conn = connection.sock, connection.conn
-        reply = Reply(sock, conn, lambda: self.is_stopping)
+        reply = Reply(connection, lambda: self.is_stopping)
         try:
-            request = await self.reader.read(sock, conn)
+            request = await self.reader.read(connection)
         except h11.RemoteProtocolError as exc:
             # The rest of the text may contain a header, and so a key.
             problem = str(exc).partition(':')[0]
@@ -264,15 +336,16 @@
         if reply.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             status, headers, body = self.encode_refusal(error)
             headers = [*headers, (b'connection', b'close')]
-            await reply.respond(status, headers, body)
+            async with curio.ignore_after(REFUSAL_S):
+                await reply.respond(status, headers, body)
         return False
 
     async def close_idle_connections(self):
         """Close the connections on which no request is being served.
 
         One that has received bytes is not idle: a request may be in them.
-        Nor is one that waits since less than `MIN_IDLE_S`: its caller may
-        just be sending.
+        Nor is one that waits since less than `connections.MIN_IDLE_S`: its
+        caller may just be sending.
         """
         now = time.monotonic()
         for task, connection in list(self.connections.items()):
--- a/src/mangorock/reading.py
+++ b/src/mangorock/reading.py
@@ -1,5 +1,7 @@
 """Reads whole requests from callers' connections within their limits."""
 
+import random
+import socket
 import time
 
 import attrs
@@ -7,11 +9,25 @@
 import curio.errors
 import h11
 
+from mangorock import buffers
 from mangorock import client
 from mangorock import errors
 from mangorock import logs
+from mangorock import sockets
 from mangorock import turns
 
+# Memory that each header takes beside its text.
+HEADER_BYTES = 200
+# How long a caller with a large request waits at most while memory is short,
+# and how often it looks for room.
+MAX_WAIT_S = 1.0
+WAIT_CHECK_S = 0.25
+# How often and at which interval all callers wait for the memory of
+# connections that were cut off.
+MAX_CLOSING_CHECKS = 5
+CLOSING_CHECK_S = 0.01
+RETRY_AFTER_RANGE_S = (0.8, 1.6)
+
 
 class ConnectionIdle(OSError):
     """A connection sent nothing for longer than the limits allow."""
@@ -39,48 +55,63 @@
     get_limits: object
     shared_turns: turns.Turns
 
-    async def read(self, sock, conn):
+    async def read(self, connection):
         """Return the next `RawRequest`, None if the caller closed.
 
         The limits in force are read at each step, as the configuration may
-        change while the connection is open.
+        change while the connection is open.  Raises `errors.Overloaded` if
+        the account of memory has no room for the request.
         """
-        head, body = None, bytearray()
+        conn, head, body = connection.conn, None, connection.body
         turn = turns.Turn(self.shared_turns)
         while True:
             if turn.is_over:
                 await turn.end()
+            _check_not_cut(connection)
             event = conn.next_event()
             turn.count()
             match event:
                 case h11.Request():
                     head = event
+                    connection.head_bytes = size_of_head(head)
                     check_framing(head)
+                    check_announced_size(
+                        head, self.get_limits().max_body_bytes
+                    )
                 case h11.Data():
                     turn.add_credit(len(event.data))
                     body += event.data
                     check_body_size(body, self.get_limits().max_body_bytes)
                 case h11.EndOfMessage():
-                    return _make_request(head, bytes(body))
+                    request = _make_request(head, bytes(body))
+                    connection.serve(len(body))
+                    _check_not_cut(connection)
+                    return request
                 case h11.ConnectionClosed() | h11.PAUSED:
                     return None
                 case h11.NEED_DATA:
-                    await self._receive(sock, conn, head)
+                    await self._receive(connection, head)
 
-    async def _receive(self, sock, conn, head):
+    async def _receive(self, connection, head):
+        sock, conn = connection.sock, connection.conn
         if conn.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(
                 status_code=100, headers=[]
             )
             await sock.sendall(conn.send(continue_response))
-        has_started = head is not None or bool(conn.trailing_data[0])
+        rest_bytes = len(conn.trailing_data[0])
+        has_started = head is not None or rest_bytes > 0
+        connection.read(rest_bytes)
         since_s, is_expired = time.monotonic(), False
         while not is_expired:
             try:
                 async with curio.timeout_after(
                     self._wait_limit_s(has_started) - _seconds_since(since_s)
                 ):
-                    data = await sock.recv(client.READ_BYTES)
+                    # Takes no memory until there is room for it.
+                    await sock.recv(1, socket.MSG_PEEK)
+                await _wait_for_room(connection)
+                data = await sock.recv(connection.next_read_bytes)
                 break
             except curio.errors.TaskTimeout:
                 # The limit may have become longer meanwhile.
@@ -88,6 +119,8 @@
                 is_expired = waited_s >= self._wait_limit_s(has_started)
         else:
             data = await self._receive_last(sock, waited_s, has_started)
+        connection.read(rest_bytes, len(data))
+        _check_not_cut(connection)
         conn.receive_data(data)
 
     def _wait_limit_s(self, has_started):
@@ -100,7 +133,7 @@
 
         Raises `ConnectionIdle` if nothing has.
         """
-        is_unread = not client.is_connection_idle(sock)
+        is_unread = not sockets.is_connection_idle(sock)
         logs.event(
             'connection_expired',
             waited_s=waited_s,
@@ -112,6 +145,58 @@
         return await sock.recv(client.READ_BYTES)
 
 
+async def _wait_for_room(connection):
+    """Read nothing more while the memory is needed by others.
+
+    A caller that had to wait for `MAX_WAIT_S` is refused, so that its memory
+    is free for others.
+    """
+    _check_not_cut(connection)
+    for _ in range(MAX_CLOSING_CHECKS):
+        if not connection.account.is_behind:
+            break
+        await curio.sleep(CLOSING_CHECK_S)
+    began_s = time.monotonic()
+    while connection.must_wait:
+        if _seconds_since(began_s) >= MAX_WAIT_S:
+            raise no_room()
+        await curio.sleep(WAIT_CHECK_S)
+    _check_not_cut(connection)
+
+
+def _check_not_cut(connection):
+    """Raise an error if a connection was cut off before it was served."""
+    if connection.is_cut and connection.kind is buffers.Kind.CONNECTION:
+        raise ConnectionIdle('the connection was idle, and others need room')
+    if connection.is_cut:
+        raise no_room()
+
+
+def no_room():
+    """Return the error for a request that this VM has no room for."""
+    return errors.Overloaded(
+        'this VM has no room to read the request; try again',
+        retry_after_s=random.uniform(*RETRY_AFTER_RANGE_S),
+    )
+
+
+def size_of_head(head):
+    """Return the memory that the head of a request takes, in bytes."""
+    return sum(
+        len(name) + len(value) + HEADER_BYTES for name, value in head.headers
+    )
+
+
+def check_announced_size(head, max_bytes):
+    """Raise `errors.TooLarge` before a body that is announced as too long.
+
+    The text is that of `check_body_size`.
+    """
+    for name, value in head.headers:
+        if name == b'content-length' and int(value) > max_bytes:
+            raise _too_large(max_bytes)
+
+
 def check_framing(head):
     """Reject a request with two headers that define its length.
 
@@ -128,9 +213,13 @@
 def check_body_size(body, max_bytes):
     """Raise `errors.TooLarge` if a body has more than ``max_bytes``."""
     if len(body) > max_bytes:
-        raise errors.TooLarge(
-            f'the body exceeds {max_bytes} bytes; send a smaller one'
-        )
+        raise _too_large(max_bytes)
+
+
+def _too_large(max_bytes):
+    return errors.TooLarge(
+        f'the body exceeds {max_bytes} bytes; send a smaller one'
+    )
 
 
 def _seconds_since(moment_s):
--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -12,6 +12,7 @@
 import curio.errors
 import h11
 
+from mangorock import buffers
 from mangorock import events
 from mangorock import logs
 from mangorock import silence
@@ -155,6 +156,11 @@
         """
         while data := await timer.read(exchange.read_some):
             whole = relay.splitter.feed(data)
+            self.client.held.set(
+                exchange,
+                len(relay.splitter.partial_event),
+                buffers.Kind.STREAM,
+            )
             if whole:
                 await relay.feed(answer, whole)
                 timer.restart(gap_s)
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -14,7 +14,7 @@
 import h11
 import orjson
 
-from mangorock import client as clients
+from mangorock import sockets
 from tests import arrivals as arrival_logs
 from tests import fleet
 from tests import workers
@@ -270,7 +270,7 @@
         if (
             exchange is not None
             and exchange.is_reusable
-            and clients.is_connection_idle(exchange.sock)
+            and sockets.is_connection_idle(exchange.sock)
         ):
             exchange.conn.start_next_cycle()
             exchange.status = 0
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -686,9 +686,7 @@
         self.has_sent = False
 
     async def recv(self, size, flags=0):
-        """Receive; the request comes when the first read is cancelled."""
-        if flags:
-            return await super().recv(size, flags)
+        """Receive; the request comes when the first wait is cancelled."""
         try:
             return await super().recv(size, flags)
         except curio.CancelledError:
