--- a/src/mangorock/connections.py
+++ b/src/mangorock/connections.py
@@ -130,9 +130,13 @@
         if self.is_cut:
             return
         count = 0
-        for request in (termios.FIONREAD, termios.TIOCOUTQ):
-            answer = fcntl.ioctl(self.sock.fileno(), request, b'\0' * 4)
-            count += int.from_bytes(answer, 'little')
+        try:
+            for request in (termios.FIONREAD, termios.TIOCOUTQ):
+                answer = fcntl.ioctl(self.sock.fileno(), request, b'\0' * 4)
+                count += int.from_bytes(answer, 'little')
+        except (OSError, ValueError):
+            # The connection was closed meanwhile.
+            return
         self.account.set_unread(self, count)
 
     def close(self):
--- a/src/mangorock/descriptors.py
+++ b/src/mangorock/descriptors.py
@@ -11,8 +11,8 @@
 
 # Part of all sockets that is reserved.
 RESERVED_PART = 0.3
-# Listening sockets, epoll, wake-ups, datagrams and probes.
-FIXED_SOCKETS = 32
+# Listening sockets, epoll, wake-ups, datagrams, probes and scrapes.
+FIXED_SOCKETS = 64
 MIN_CALLER_SOCKETS = 8
 # Closed at once beyond the limit, as a part of it, so that the search for
 # them is not repeated for each connection.
--- a/src/mangorock/exposition.py
+++ b/src/mangorock/exposition.py
@@ -47,9 +47,12 @@
         self.counts[name] = self.counts.get(name, 0) + count
         self.counter.labels(name).inc(count)
 
-    def set_gauge(self, name, value):
-        """Set the gauge ``name``."""
-        self.gauge.labels(name).set(value)
+    def set_held(self, held_bytes, callers, others):
+        """Set the gauges of bytes by kind and of open connections."""
+        for kind, count in held_bytes.items():
+            self.gauge.labels(f'bytes.{kind}').set(count)
+        self.gauge.labels('descriptors.callers').set(callers)
+        self.gauge.labels('descriptors.others').set(others)
 
     def timing(self, name, seconds):
         """Add a duration in seconds to the histogram ``name``."""
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -89,12 +89,8 @@
             self.account,
             lambda: self.shares.max_callers(self.client.open_count),
         )
-        self.account.on_cut = lambda kind: self.metrics.add(
-            f'cut_off.{kind.value}'
-        )
-        self.ingress.on_closed = lambda count: self.metrics.add(
-            'closed.descriptors', count
-        )
+        self.account.on_cut = self.metrics.count_cut
+        self.ingress.on_closed = self.metrics.count_closed
         self.shutdown = shutdown.Shutdown(self.ingress, self.gateway)
         self.gateway.keys.bound_s = settings.revocation_s
         self.is_stopping = False
@@ -121,17 +117,10 @@
         probes = http.listen(*settings.ready_address)
         await self.ingress.start(callers)
         await self.spawn(self.ingress.count_unread)
-        await self.spawn(
-            http.serve, probes, self._answer_probe, ingresses.MAX_PROBE_BYTES
-        )
+        await self._serve_probes(probes, self._answer_probe)
         if settings.metrics_address is not None:
             scrapes = http.listen(*settings.metrics_address)
-            await self.spawn(
-                http.serve,
-                scrapes,
-                self._answer_scrape,
-                ingresses.MAX_PROBE_BYTES,
-            )
+            await self._serve_probes(scrapes, self._answer_scrape)
         store = self.platform.make_store(settings.store_address, self.client)
         self.store = store
         servers = discovery.Discovery(self.gateway.registry, self.platform)
@@ -165,6 +154,15 @@
             failure_domain=settings.failure_domain,
         )
 
+    async def _serve_probes(self, listener, handler):
+        await self.spawn(
+            http.serve,
+            listener,
+            handler,
+            ingresses.MAX_PROBE_BYTES,
+            ingresses.MAX_PROBES,
+        )
+
     async def _start_vm_discovery(self, store):
         """Announce this VM to the others and follow the list of VMs."""
         settings = self.settings
@@ -346,12 +344,11 @@
         await responder.respond(200 if is_ready else 503, b'')
 
     async def _answer_scrape(self, request, responder):
-        for kind, count in self.account.held_bytes().items():
-            self.metrics.set_gauge(f'bytes.{kind}', count)
-        self.metrics.set_gauge(
-            'descriptors.callers', len(self.ingress.connections)
+        self.metrics.set_held(
+            self.account.held_bytes(),
+            callers=len(self.ingress.connections),
+            others=self.client.open_count,
         )
-        self.metrics.set_gauge('descriptors.others', self.client.open_count)
         await responder.respond(
             200,
             exposition.render(self.metrics),
--- a/src/mangorock/http.py
+++ b/src/mangorock/http.py
@@ -4,6 +4,8 @@
 handler together with a `Responder`.  The client is in ``client``.
 """
 
+import collections
+import math
 import socket
 
 import attrs
@@ -206,14 +208,16 @@
     return sock
 
 
-async def serve(sock, handler, max_body_bytes):
+async def serve(sock, handler, max_body_bytes, max_connections=math.inf):
     """Accept connections until the task is cancelled.
 
     ``handler(request, responder)`` is called for each request.  Each
     connection has a daemonic task, which ends with the process: shutdown
-    waits for the last request before that.
+    waits for the last request before that.  Beyond ``max_connections`` the
+    oldest connection is closed.
     """
     shared_turns = turns.Turns()
+    tasks = collections.deque()
     async with sock:
         while True:
             try:
@@ -224,7 +228,7 @@
                 await curio.sleep(ACCEPT_RETRY_S)
                 continue
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await curio.spawn(
+            task = await curio.spawn(
                 _serve_connection,
                 connection,
                 handler,
@@ -232,3 +236,17 @@
                 shared_turns,
                 daemon=True,
             )
+            if max_connections < math.inf:
+                tasks.append(task)
+                await _end_oldest(tasks, max_connections)
+
+
+async def _end_oldest(tasks, max_connections):
+    """Forget the connections that have ended, and end the oldest beyond."""
+    if len(tasks) <= max_connections:
+        return
+    running = [task for task in tasks if not task.terminated]
+    tasks.clear()
+    tasks.extend(running)
+    while len(tasks) > max_connections:
+        await tasks.popleft().cancel()
--- a/src/mangorock/ingress.py
+++ b/src/mangorock/ingress.py
@@ -27,11 +27,16 @@
 
 CHUNKED_HEADER = (b'transfer-encoding', b'chunked')
 MAX_PROBE_BYTES = 4096
+# Connections to each address for probes and scrapes.
+MAX_PROBES = 16
 ACCEPT_RETRY_S = 0.05
 # Pieces in which a long answer is written, to see whether it is taken.
 WRITE_BYTES = 65536
 # Times that the loop runs to close connections before one more is accepted.
 CLOSING_ROUNDS = 3
+# Connections beyond the limit of which no more could be closed, as all of them
+# have open requests: from here on further requests are refused.
+SURPLUS_CONNECTIONS = 16
 # How often and at which interval accepting waits for connections to close.
 MAX_CLOSING_CHECKS = 20
 CLOSING_CHECK_S = 0.005
@@ -318,6 +323,9 @@
             return await self._refuse(reply, exc)
         if request is None:
             return False
+        max_connections = self.get_max_connections() + SURPLUS_CONNECTIONS
+        if len(self.connections) > max_connections:
+            return await self._refuse(reply, reading.no_room())
         self.in_flight += 1
         connection.reply = reply
         watcher = await curio.spawn(
--- a/src/mangorock/metrics.py
+++ b/src/mangorock/metrics.py
@@ -46,6 +46,14 @@
         """Increment the counter of a retry reason."""
         self.add(f'retried.{reason.value}')
 
+    def count_cut(self, kind):
+        """Count who was cut off for lack of memory, by `buffers.Kind`."""
+        self.add(f'cut_off.{kind.value}')
+
+    def count_closed(self, count):
+        """Count callers' connections closed for lack of descriptors."""
+        self.add('closed.descriptors', count)
+
     def timing(self, name, seconds):
         """Send a duration to statsd, which expects milliseconds."""
         if self.client is not None:
--- a/tests/test_unlimited_callers.py
+++ b/tests/test_unlimited_callers.py
@@ -9,6 +9,7 @@
 
 import os
 import pathlib
+import re
 import socket
 import tempfile
 import time
@@ -29,6 +30,7 @@
 MAX_FDS = 400
 MANY_FDS = 4200
 MAX_BODY_BYTES = 400_000
+LONG_BODY_BYTES = 4 << 20
 # Longer than the kernel buffers for a connection that nobody reads.
 ANSWER = b'x' * 6_000_000
 # Sending ends when no connection has taken a byte for this long.
@@ -292,6 +294,93 @@
     def test_slow_readers_of_long_answers(self):
         self._check([lambda: pipelined(1)] * 80)
 
+    def test_probes_that_stay_open_beyond_the_descriptors(self):
+        # Guards against addresses for probes that nothing bounds.
+        with tempfile.TemporaryDirectory() as folder:
+            seen = curio.run(run_probes, folder)
+        self.assertEqual(200, seen.status)
+        self.assertLess(seen.open_fds, MAX_FDS)
+
+
+async def run_probes(folder):
+    """Open idle connections to the address for probes."""
+    cluster = process.Cluster(folder, make_config())
+    cluster.vm = Vm(0, cluster.vm.folder, cluster.vm.proxy)
+    cluster.vm.max_fds = MAX_FDS
+    async with cluster:
+        socks = [
+            socket.create_connection((cluster.vm.ip, 8140))
+            for _ in range(MAX_FDS)
+        ]
+        status = await ask_until_served(cluster)
+        seen = Seen(open_fds=cluster.vm.open_fds(), status=status)
+        probe = await cluster.client.open(f'{cluster.vm.ip}:8140', True)
+        await probe.send('GET', '/', [], b'')
+        await cluster.client.discard(probe)
+        seen.status = min(status, probe.status)
+        for sock in socks:
+            sock.close()
+    return seen
+
+
+class Alone(unittest.TestCase):
+    """A caller inside the limits is served when nobody else needs room."""
+
+    def _ask(self, pieces, read_bytes=65536, pause_s=0.0):
+        async def main():
+            with tempfile.TemporaryDirectory() as folder:
+                answering = LongAnswers(
+                    'w1', 'annex', lambda r: workers.whole_response(r, ANSWER)
+                )
+                config = make_config()
+                config['limits']['maxBodyBytes'] = LONG_BODY_BYTES
+                for route in config['routes']:
+                    route['timeoutMs'] = 20000
+                cluster = process.Cluster(folder, config, answering)
+                cluster.vm = Vm(0, cluster.vm.folder, cluster.vm.proxy)
+                async with cluster:
+                    return await curio.run_in_thread(
+                        exchange, cluster.vm, pieces, read_bytes, pause_s
+                    )
+
+        return curio.run(main)
+
+    def test_longest_body_is_served(self):
+        answer = self._ask(announced(LONG_BODY_BYTES, LONG_BODY_BYTES))
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer[:200])
+
+    def test_longest_body_in_small_chunks_is_served(self):
+        chunks = chunked(b'x' * 64, LONG_BODY_BYTES // 64)
+        answer = self._ask([*chunks, b'0\r\n\r\n'])
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer[:200])
+
+    def test_slow_reader_of_a_long_answer_gets_all_of_it(self):
+        answer = self._ask(pipelined(1), 65536, 0.01)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer[:200])
+        self.assertTrue(answer.endswith(ANSWER))
+
+
+def exchange(vm, pieces, read_bytes, pause_s):
+    """Send a request on a new connection; return the whole answer."""
+    sock = connect(vm)
+    sock.settimeout(soak.START_TIMEOUT_S)
+    with sock:
+        for piece in pieces:
+            sock.sendall(piece)
+        answer = bytearray()
+        while True:
+            head_bytes, _, body = bytes(answer[:4096]).partition(b'\r\n\r\n')
+            length = re.search(rb'(?i)content-length: (\d+)', head_bytes)
+            if body and length:
+                whole = len(head_bytes) + 4 + int(length.group(1))
+                if len(answer) >= whole:
+                    return bytes(answer)
+            data = sock.recv(read_bytes)
+            if not data:
+                return bytes(answer)
+            answer += data
+            time.sleep(pause_s)
+
 
 if __name__ == '__main__':
     unittest.main()
