--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -12,6 +12,8 @@
 
 MAX_BYTES = 1_000_000
 KINDS = tuple(buffers.Kind)
+# Without shrinking, which took minutes for a failure.
+PHASES = (hypothesis.Phase.explicit, hypothesis.Phase.generate)
 
 
 @attrs.define(eq=False)
@@ -72,7 +74,9 @@
 class Account(unittest.TestCase):
     """The sum is bounded, and who has to go does not depend on luck."""
 
-    @hypothesis.settings(max_examples=300, database=None, deadline=None)
+    @hypothesis.settings(
+        max_examples=300, database=None, deadline=None, phases=PHASES
+    )
     @hypothesis.given(STEPS)
     def test_sum_is_never_over_the_bound(self, steps):
         cuts, clock = [], Clock()
@@ -90,7 +94,9 @@
             account.remove(holder)
         self.assertEqual((0, 0), (account.total_bytes, account.closing_bytes))
 
-    @hypothesis.settings(max_examples=300, database=None, deadline=None)
+    @hypothesis.settings(
+        max_examples=300, database=None, deadline=None, phases=PHASES
+    )
     @hypothesis.given(STEPS)
     def test_requests_in_service_are_cut_off_last(self, steps):
         # A request in service may have run, so its caller should get the
