Read no answers while the memory of closed connections is in use

Change: one wait for that (Buffers.wait_for_closing) for accepting, reading requests and reading answers.

--- a/src/mangorock/buffers.py
+++ b/src/mangorock/buffers.py
@@ -21,6 +21,7 @@
 import time
 
 import attrs
+import curio
 
 from mangorock import logs
 
@@ -41,6 +42,9 @@
 # Keeps the rank of holders that transfer nothing finite.
 MIN_MOVED_BYTES = 1024
 LOG_INTERVAL_S = 1.0
+# How often and at which interval to look whether holders have ended.
+MAX_CLOSING_CHECKS = 10
+CLOSING_CHECK_S = 0.005
 
 
 class Kind(enum.Enum):
@@ -154,6 +158,16 @@
         """Say whether holders that were cut off have to end first."""
         return self.total_bytes + self.closing_bytes > self.max_bytes
 
+    async def wait_for_closing(self):
+        """Let holders that were cut off end before more is held.
+
+        The wait is bounded, as one of them may be in the way of its own end.
+        """
+        for _ in range(MAX_CLOSING_CHECKS):
+            if not self.is_behind:
+                return
+            await curio.sleep(CLOSING_CHECK_S)
+
     def must_wait(self, holder):
         """Say whether nothing more should be read from a holder now."""
         entry = self.entries.get(holder)
--- a/src/mangorock/client.py
+++ b/src/mangorock/client.py
@@ -193,6 +193,7 @@
         answers that are being read take too much memory.
         """
         while not self.is_body_complete:
+            await self.held.wait_for_closing()
             data = await self.read_some()
             self.body += data
             self.held.add(self, len(data))
--- a/src/mangorock/ingress.py
+++ b/src/mangorock/ingress.py
@@ -37,9 +37,6 @@
 # Connections beyond the limit of which no more could be closed, as all of them
 # have open requests: from here on further requests are refused.
 SURPLUS_CONNECTIONS = 16
-# How often and at which interval accepting waits for connections to close.
-MAX_CLOSING_CHECKS = 20
-CLOSING_CHECK_S = 0.005
 # A refusal that the caller does not take is given up after this.
 REFUSAL_S = 2.0
 COUNT_INTERVAL_S = 0.5
@@ -212,14 +209,7 @@
                 await curio.sleep(ACCEPT_RETRY_S)
                 continue
             await self.start_connection(accepted)
-            await self._wait_for_closing()
-
-    async def _wait_for_closing(self):
-        """Accept nothing while the memory of closed connections is in use."""
-        for _ in range(MAX_CLOSING_CHECKS):
-            if not self.account.is_behind:
-                return
-            await curio.sleep(CLOSING_CHECK_S)
+            await self.account.wait_for_closing()
 
     async def start_connection(self, sock):
         """Serve a caller's connection until it ends."""
--- a/src/mangorock/reading.py
+++ b/src/mangorock/reading.py
@@ -22,10 +22,6 @@
 # and how often it looks for room.
 MAX_WAIT_S = 1.0
 WAIT_CHECK_S = 0.25
-# How often and at which interval all callers wait for the memory of
-# connections that were cut off.
-MAX_CLOSING_CHECKS = 5
-CLOSING_CHECK_S = 0.01
 RETRY_AFTER_RANGE_S = (0.8, 1.6)
 
 
@@ -152,10 +148,7 @@
     is free for others.
     """
     _check_not_cut(connection)
-    for _ in range(MAX_CLOSING_CHECKS):
-        if not connection.account.is_behind:
-            break
-        await curio.sleep(CLOSING_CHECK_S)
+    await connection.account.wait_for_closing()
     began_s = time.monotonic()
     while connection.must_wait:
         if _seconds_since(began_s) >= MAX_WAIT_S:
