--- a/src/mangorock/client.py
+++ b/src/mangorock/client.py
@@ -187,7 +187,7 @@
             return
 
     async def read(self):
-        """Return the whole body.
+        """Return the whole body, a long one as a bytearray.
 
         Raises `AnswerTooLongError` beyond `MAX_ANSWER_BYTES`, and if all
         answers that are being read take too much memory.
@@ -203,9 +203,10 @@
                     'or the most of all answers that took too much memory; '
                     'check the server'
                 )
-        body, self.body = bytes(self.body), bytearray()
+        body, self.body = self.body, bytearray()
         self.held.remove(self)
-        return body
+        # A long body is not copied.
+        return body if len(body) > READ_BYTES else bytes(body)
 
     def cut(self):
         """Drop the body and end the answer; a pending read fails."""
--- a/src/mangorock/ingress.py
+++ b/src/mangorock/ingress.py
@@ -78,7 +78,9 @@
         """Send a complete answer."""
         head = [*headers, (b'content-length', str(len(body)).encode())]
         data = self._encode_head(status, head)
-        body = self.conn.send(h11.Data(data=body)) if body else b''
+        if body:
+            # Written below, as `send` would copy it.
+            self.conn.send_with_data_passthrough(h11.Data(data=body))
         self.conn.send(h11.EndOfMessage())
         if len(body) <= WRITE_BYTES:
             data, body = data + body, b''
