--- a/src/mangorock/exposition.py
+++ b/src/mangorock/exposition.py
@@ -39,6 +39,12 @@
             buckets=BUCKETS_S,
             registry=self.registry,
         )
+        self.held = prometheus_client.Gauge(
+            'mangorock_held',
+            'What is held at the moment, by name.',
+            ['name'],
+            registry=self.registry,
+        )
         for name in self.counts:
             self.counter.labels(name)
 
@@ -51,6 +57,13 @@
         """Set the current value of ``name``."""
         self.gauges.labels(name).set(value)
 
+    def set_held(self, held_bytes, callers, others):
+        """Set the gauges of bytes by kind and of open connections."""
+        for kind, count in held_bytes.items():
+            self.held.labels(f'bytes.{kind}').set(count)
+        self.held.labels('descriptors.callers').set(callers)
+        self.held.labels('descriptors.others').set(others)
+
     def timing(self, name, seconds):
         """Add a duration in seconds to the histogram ``name``."""
         self.histogram.labels(name).observe(seconds)
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -14,9 +14,11 @@
 import curio.errors
 
 from mangorock import budget
+from mangorock import buffers
 from mangorock import client as clients
 from mangorock import consultation
 from mangorock import demand
+from mangorock import descriptors
 from mangorock import discovery
 from mangorock import duty_calls
 from mangorock import duty_loop
@@ -63,11 +65,14 @@
         self.rng = random.Random()
         self.metrics = exposition.make_prometheus_metrics()
         shared_turns = turns.Turns()
+        self.account = buffers.Buffers(settings.max_held_bytes)
+        self.shares = descriptors.SocketShares(settings.max_sockets)
         self.client = clients.Client(
             CONNECT_TIMEOUT_S,
             SEND_TIMEOUT_S,
             shared_turns,
-            settings.max_held_bytes,
+            self.account,
+            self.shares.max_reserved,
         )
         self.gateway = gateways.Gateway(
             platform.wire,
@@ -83,7 +88,11 @@
             lambda: self.gateway.catalog.limits,
             platform.wire.encode_refusal,
             shared_turns,
+            self.account,
+            lambda: self.shares.max_callers(self.client.open_count),
         )
+        self.account.on_cut = self.metrics.count_cut
+        self.ingress.on_closed = self.metrics.count_closed
         self.shutdown = shutdown.Shutdown(self.ingress, self.gateway)
         self.gateway.keys.bound_s = settings.revocation_s
         self.is_stopping = False
@@ -111,17 +120,11 @@
         callers = http.listen(*settings.caller_address)
         probes = http.listen(*settings.ready_address)
         await self.ingress.start(callers)
-        await self.spawn(
-            http.serve, probes, self._answer_probe, ingresses.MAX_PROBE_BYTES
-        )
+        await self.spawn(self.ingress.count_unread)
+        await self._serve_probes(probes, self._answer_probe)
         if settings.metrics_address is not None:
             scrapes = http.listen(*settings.metrics_address)
-            await self.spawn(
-                http.serve,
-                scrapes,
-                self._answer_scrape,
-                ingresses.MAX_PROBE_BYTES,
-            )
+            await self._serve_probes(scrapes, self._answer_scrape)
         store = self.platform.make_store(settings.store_address, self.client)
         self.store = store
         servers = discovery.Discovery(self.gateway.registry, self.platform)
@@ -161,6 +164,15 @@
             failure_domain=settings.failure_domain,
         )
 
+    async def _serve_probes(self, listener, handler):
+        await self.spawn(
+            http.serve,
+            listener,
+            handler,
+            ingresses.MAX_PROBE_BYTES,
+            ingresses.MAX_PROBES,
+        )
+
     async def _start_vm_discovery(self, store):
         """Announce this VM to the others and follow the list of VMs."""
         settings = self.settings
@@ -375,6 +387,11 @@
         await responder.respond(200 if is_ready else 503, b'')
 
     async def _answer_scrape(self, request, responder):
+        self.metrics.set_held(
+            self.account.held_bytes(),
+            callers=len(self.ingress.connections),
+            others=self.client.open_count,
+        )
         await responder.respond(
             200,
             exposition.render(self.metrics),
