--- a/src/mangorock/bounds.py
+++ b/src/mangorock/bounds.py
@@ -10,6 +10,9 @@
 ANSWERS_MEMORY_PART = 0.2
 DEFAULT_MEMORY_BYTES = 256_000_000
 DEFAULT_MAX_SOCKETS = 4000
+# The lease for orders lasts this many times the spacing that the orders of
+# two VMs must have; no order is sent in its second half.
+ORDER_LEASE_FACTOR = 2.0
 # Bound on the retries of all VMs where the platform states none.
 DEFAULT_RETRY_TERMS = budget.Terms(ratio=0.1, window_s=10.0, slack=0.0)
 
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -13,40 +13,33 @@
 import curio
 import curio.errors
 
+from mangorock import bounds
 from mangorock import budget
 from mangorock import buffers
 from mangorock import client as clients
 from mangorock import consultation
-from mangorock import demand
 from mangorock import descriptors
 from mangorock import discovery
-from mangorock import duty_calls
-from mangorock import duty_loop
+from mangorock import duty_setup
 from mangorock import errors
 from mangorock import exposition
 from mangorock import gateway as gateways
 from mangorock import http
 from mangorock import ingress as ingresses
 from mangorock import isolation
-from mangorock import leadership
 from mangorock import logs
 from mangorock import mirror
 from mangorock import presence
-from mangorock import server_orders
 from mangorock import shutdown
 from mangorock import signals
 from mangorock import staging
 from mangorock import subscription
 from mangorock import turns
-from mangorock import usage_reports
 from mangorock import wakeup
 
 CONNECT_TIMEOUT_S = 0.5  # A hundred round trips between failure domains.
 SEND_TIMEOUT_S = 2.0  # Unacknowledged bytes end a connection after this.
 PRUNE_INTERVAL_S = 0.5
-# The lease for orders lasts this many times the spacing that the orders of
-# two VMs must have; no order is sent in its second half.
-ORDER_LEASE_FACTOR = 2.0
 # Interval at which the settings file is read again without a signal.
 SETTINGS_INTERVAL_S = 2.0
 
@@ -219,7 +212,7 @@
         scheduler_endpoint = self.gateway.scheduler_endpoint
         controller = staging.StageController(
             self.settings.vm,
-            ORDER_LEASE_FACTOR * self.settings.order_spacing_s,
+            bounds.ORDER_LEASE_FACTOR * self.settings.order_spacing_s,
             self.gateway.registry,
             store,
             self.client,
@@ -235,42 +228,10 @@
         )
 
     async def _start_duties(self, store):
-        settings = self.settings
-        endpoint = self.gateway.scheduler_endpoint
-        holder = leadership.make_lease_holder(
-            settings.vm,
-            duty_loop.KEY,
-            ORDER_LEASE_FACTOR * settings.order_spacing_s,
-            store,
-            events=leadership.Events('duty_won', 'duty_lost', 'duty_over'),
-        )
-        totals = demand.DemandTotals()
-        loop = duty_loop.DutyLoop(
-            endpoint, holder, self.gateway.demand, totals
-        )
-        api = duty_calls.PlatformApi(
-            settings.duties.address,
-            settings.vm,
-            self.client,
-            self.platform.cloud,
+        loop = duty_setup.make_duty_loop(
+            self.settings, self.gateway, store, self.platform.cloud
         )
-        if settings.duties.orders_servers:
-            loop.jobs.append(
-                server_orders.ServerOrders(self.gateway, api, totals)
-            )
-        if settings.duties.reports_usage:
-            reports = usage_reports.make_reports(
-                settings.vm,
-                settings.duties,
-                endpoint,
-                store,
-                api,
-                self.metrics,
-            )
-            loop.usage = self.usage_exchange = reports.exchange
-            self.gateway.usage = reports.exchange.counter
-            loop.jobs.append(reports)
-        endpoint.on_duty_message = loop.on_message
+        self.usage_exchange = loop.usage
         await self.spawn(loop.run)
 
     def _apply_vms(self, vms, items):
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -26,6 +26,7 @@
 from mangorock import outliers as outliers_module
 from mangorock import placement
 from mangorock import quarantine as quarantines
+from mangorock import queueing
 from mangorock import refusals
 from mangorock import registry as registries
 from mangorock import retries
@@ -35,10 +36,7 @@
 from mangorock import silence
 from mangorock import traffic
 from mangorock import usage as usages
-from mangorock import waiting
 
-# Requests per service that may wait for a server with a free slot.
-MAX_QUEUED_REQUESTS = 64
 # Range in seconds from which Retry-After is drawn, to spread the callers.
 RETRY_AFTER_RANGE_S = (0.8, 1.6)
 # Range of the factor on a known time until there is room.
@@ -253,8 +251,8 @@
 
     async def _serve_plain(self, context, service):
         while True:
-            server = await self.wait_for_placement(
-                context, lambda: self._place_eligible(context, service)
+            server = await queueing.wait_for_placement(
+                self, context, lambda: self._place_eligible(context, service)
             )
             context.record_placement([server])
             try:
@@ -358,71 +356,6 @@
         await context.reply.respond(answer.status, answer.headers, body)
         return 'whole' if answer.is_success else f'status_{answer.status}'
 
-    async def wait_for_placement(self, context, place, wait=None):
-        """Return the result of ``place()``, waiting while it is None.
-
-        ``wait`` is a `waiting.Wait`, by default that of a new request.
-        Raises `errors.Overloaded` if the queue is full or the wait is over.
-        """
-        wait = wait or waiting.wait_of_new_request(context)
-        queue = self.wait_queues.setdefault(
-            context.service, waiting.WaitQueue(MAX_QUEUED_REQUESTS)
-        )
-        if queue.is_first(wait.priority, account=wait.account):
-            found = place()
-            if found is not None:
-                queue.shares.on_placed_at_once(wait.flow)
-                return found
-        own_place = place if wait.is_resumed else None
-        now = time.monotonic()
-        ticket = queue.add(
-            wait.priority, now, wait.until_s, own_place, wait.account
-        )
-        if ticket is None:
-            self.metrics.add('refused_without_wait')
-            refusal = self._overloaded(queue, wait, context)
-            until_s = now + (refusal.retry_after_s or 0.0)
-            request_id = context.request.request_id
-            queue.shares.on_refusal(wait.flow, request_id, now, until_s)
-            raise refusal
-        is_served = None
-        try:
-            found = await self._wait_in_queue(queue, ticket, place, context)
-            is_served = True
-            return found
-        except errors.MangorockError:
-            is_served = False
-            raise
-        finally:
-            queue.remove(ticket, is_served, time.monotonic())
-            await self.notify_first_waiter(context.service)
-
-    async def _wait_in_queue(self, queue, ticket, place, context):
-        while True:
-            now = time.monotonic()
-            if queue.is_lost(ticket, now):
-                raise self._overloaded(queue, ticket, context)
-            ticket.wakeup.clear()
-            admission.check_sendable(self, context)
-            if queue.is_first(ticket.priority, ticket):
-                found = place()
-                if found is not None:
-                    return found
-            wait_s = min(ticket.expires_at_s - now, waiting.RECHECK_S)
-            async with curio.ignore_after(wait_s):
-                await ticket.wakeup.wait()
-
-    def _overloaded(self, queue, wait, context):
-        """Return the error that tells when the queue will have room."""
-        room_s = queue.room_after_s(
-            wait, context.route.target_s, time.monotonic()
-        )
-        if room_s is None:
-            retry_after_s = self.retry_after_s(context.service)
-        else:
-            retry_after_s = self.spread(room_s)
-        return refusals.overloaded(context, retry_after_s)
-
     async def notify_first_waiter(self, service):
         """Wake the first request in the queue, as a slot may be free."""
         queue = self.wait_queues.get(service)
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -22,6 +22,7 @@
 from mangorock import metrics
 from mangorock import placement
 from mangorock import prefill
+from mangorock import queueing
 from mangorock import refusals
 from mangorock import retries
 from mangorock import sending
@@ -94,8 +95,8 @@
             placed = await self._ask_scheduler()
             if placed is not None:
                 return placed
-        return await self.gateway.wait_for_placement(
-            self.context, self._place_locally, self._wait()
+        return await queueing.wait_for_placement(
+            self.gateway, self.context, self._place_locally, self._wait()
         )
 
     def _wait(self):
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -18,9 +18,9 @@
 from mangorock import consultation
 from mangorock import errors
 from mangorock import fairness
-from mangorock import gateway
 from mangorock import messages
 from mangorock import queue_rate
+from mangorock import queueing
 from mangorock import scheduler
 from mangorock import waiting
 from tests import test_scheduler
@@ -480,7 +480,7 @@
         ):
             context = mock.Mock(may_have_run=may_have_run, service='s')
             context.route.target_s = TARGET_S
-            made = gateway.Gateway._overloaded(
+            made = queueing.overloaded(
                 mock.Mock(retry_after_s=lambda service: 1.0),
                 waiting.WaitQueue(8),
                 waiting.Wait(0, 1.0),
