Forget plans whenever the lease of the duties is a new one

Cause: a lease that lapsed and was acquired again within one step kept the jobs' plans and the last known report, although another VM may have acted between. Change: jobs are reset when the fencing token differs; servers that are not spot ones are called on-demand.

--- a/src/mangorock/duty_loop.py
+++ b/src/mangorock/duty_loop.py
@@ -77,26 +77,30 @@
             self.started_s = now
         if now - self.started_s < START_S:
             return
-        was_held = self.holder.fence is not None
+        known_fence = self.holder.fence
         first = self.endpoint.directory.ranked_peers(SUBJECT, now, 1)[0]
-        if first is not None and not (
-            was_held and self._is_silent(first, now)
-        ):
+        is_replacing = known_fence is not None and self._is_silent(first, now)
+        if first is not None and not is_replacing:
             # The lease of a VM that no longer ranks first lapses.
             self.holder.drop_expired()
             return
-        if not was_held and now - self.tried_s < ACQUIRE_INTERVAL_S:
+        is_due = now - self.tried_s >= ACQUIRE_INTERVAL_S
+        if known_fence is None and not is_due:
             return
         self.tried_s = now
         if not await self.holder.ensure():
             return
-        if not was_held:
+        if self.holder.fence != known_fence:
+            # Another VM may have held the duties since.
             for job in self.jobs:
                 job.reset()
         for job in self.jobs:
             await job.step(self.holder)
 
     def _is_silent(self, peer, now):
+        """Say whether the VM that ranks first has not answered lately."""
+        if peer is None:
+            return False
         return now - self.heard_s.get(peer.vm, float('-inf')) > SILENT_S
 
     def send_samples(self):
--- a/src/mangorock/fleet_size.py
+++ b/src/mangorock/fleet_size.py
@@ -1,17 +1,17 @@
 """Decides how many servers of a service each failure domain should have.
 
 It answers three load patterns where servers are billed by the second and are
-ordered of two kinds, of which the spot ones cost less and may be reclaimed,
-all of a failure domain at once:
+ordered of two kinds, on-demand ones and spot ones, which cost less and may be
+reclaimed, all of a failure domain at once:
 
-* Servers that were there at the start, more and of a dearer kind than needed:
-  as many spot servers are ordered, and when they serve, the others go.
+* On-demand servers that were there at the start, more than needed: as many
+  spot servers are ordered, and when they serve, the others go.
 * A demand that swings within seconds: its peak of many seconds counts, servers
   go in steps, and none while answers are late or requests refused.
 * Spot servers that are reclaimed: what remains without those of any one
   failure domain still carries the peak, and while a domain has none to order,
-  the others have more.  Where only one domain has spot servers, the other kind
-  makes up what must remain.
+  the others have more.  Where only one domain has spot servers, on-demand ones
+  make up what must remain.
 
 `FleetPlanner` is a state machine without I/O.
 """
@@ -20,11 +20,12 @@
 
 import attrs
 
-# Share of the slots that the peak demand may use.
+# Share of the slots that the peak demand may use: prefills beside more streams
+# delay first events beyond their targets.
 TARGET_OCCUPANCY = 0.3
 # Share of the needed servers that must remain when the only failure domain
-# with spot servers loses them: the others cost more, and carry the peak at a
-# higher occupancy until further ones have started.
+# with spot servers loses them: on-demand ones cost more, and carry the peak at
+# a higher occupancy until further ones have started.
 REMAINING_SHARE = 0.6
 # Share of late and refused requests above which servers are added, and the
 # factor; no server goes above the lower share.
@@ -122,15 +123,15 @@
 
         They register one after the other when the system starts.
         """
-        dearer = {
+        on_demand = {
             kind: found.ready
             for kind, found in present.items()
             if not kind.is_spot
         }
-        if sum(dearer.values()) > self.found:
-            self.found, self.grown_s = sum(dearer.values()), now
+        if sum(on_demand.values()) > self.found:
+            self.found, self.grown_s = sum(on_demand.values()), now
         if self.stepped_s == float('-inf'):
-            for kind, count in dearer.items():
+            for kind, count in on_demand.items():
                 self.wanted[kind] = max(self.wanted.get(kind, 0), count)
 
     def _notice_reclaimed(self, present, now):
@@ -232,8 +233,8 @@
     """Return the cheapest counts that `_suffices`.
 
     Spot servers are divided evenly among the failure domains that have some.
-    Those of one domain may all be lost, so that with one such domain the
-    other kind makes up what must remain.
+    Those of one domain may all be lost, so that with one such domain
+    on-demand ones make up what must remain.
     """
     domains = len(spot_domains)
     remaining = _remaining(needed, spot_domains)
@@ -247,7 +248,7 @@
         missing = max(needed - each * domains, remaining - held, 0)
         if missing <= _room(scaling, counts):
             break
-    _add_others(scaling, counts, missing)
+    _add_on_demand(scaling, counts, missing)
     return counts
 
 
@@ -257,8 +258,8 @@
     return most - sum(counts.values())
 
 
-def _add_others(scaling, counts, missing):
-    """Add servers that are not reclaimed, in the emptiest domains first.
+def _add_on_demand(scaling, counts, missing):
+    """Add on-demand servers, in the domains with the fewest first.
 
     Each domain gets its least number.  Among domains with the same number the
     cheapest comes first.
--- a/tests/test_server_orders.py
+++ b/tests/test_server_orders.py
@@ -32,7 +32,7 @@
     return fleet_size.Kind(domain, True)
 
 
-def other(domain):
+def on_demand(domain):
     return fleet_size.Kind(domain, False)
 
 
@@ -112,15 +112,15 @@
 
 
 def make_platform():
-    """Return a platform with 19 dearer servers in each domain."""
-    return Platform({other(domain): 19 for domain in DOMAINS})
+    """Return a platform with 19 on-demand servers in each domain."""
+    return Platform({on_demand(domain): 19 for domain in DOMAINS})
 
 
 class Planning(unittest.TestCase):
     """The number of servers under the loads that showed the cost."""
 
     def test_spot_servers_replace_the_others_before_there_is_demand(self):
-        # Guards against paying for the dearer kind, and against servers that
+        # Guards against paying for on-demand servers, and against servers that
         # go before others have taken their place.
         platform = make_platform()
         platform.run(12, 0)
@@ -131,10 +131,10 @@
 
     def test_servers_that_register_late_are_kept(self):
         # Guards against a plan that takes the first servers for all.
-        platform = Platform({other('a'): 2})
+        platform = Platform({on_demand('a'): 2})
         for count in (4, 9, 14, 19):
             platform.run(1, 0)
-            platform.counts |= {other(domain): count for domain in DOMAINS}
+            platform.counts |= {on_demand(domain): count for domain in DOMAINS}
         platform.run(12, 0)
         self.assertEqual(AFTER_START, platform.ready)
 
@@ -207,7 +207,7 @@
             lost = counts.get(spot(domain), 0)
             share = 1.0 if len(domains) > 1 else fleet_size.REMAINING_SHARE
             self.assertGreaterEqual(total - lost, share * needed)
-            in_domain = lost + counts[other(domain)]
+            in_domain = lost + counts[on_demand(domain)]
             self.assertTrue(1 <= in_domain <= SCALING.max_servers)
 
 
