Show that a copy of a refusal passes for the answer

Cause: not changed yet. A server that took over an address refuses the request that names its predecessor and gets it again under its own name, on the same connection; the copy of the refusal bears the id that is under way.

--- /dev/null
+++ b/tests/test_repeated_refusals.py
@@ -0,0 +1,101 @@
+"""Tests of servers that write a refusal once more, on the same connection.
+
+The copy bears the id of the refused request.  If that request is under way
+again on the connection, nothing on the wire tells the copy from its answer.
+"""
+
+import unittest
+
+import attrs
+import curio
+
+from tests import fleet
+from tests import workers
+
+
+def refusal(request, status):
+    """Return a refusal that bears the id of its request."""
+    lines = [
+        b'HTTP/1.1 %d X' % status,
+        b'X-Not-Executed: 1',
+        b'Content-Length: 4',
+        b'X-Request-Id: ' + request.request_id.encode(),
+    ]
+    return b'\r\n'.join(lines) + b'\r\n\r\nbusy'
+
+
+@attrs.define
+class Repeater:
+    """Refuses each request that comes first, and writes the refusal twice.
+
+    The copy comes ``delay_s`` before the next answer on the connection.
+    """
+
+    delay_s: float
+    refused: dict = attrs.field(factory=dict)
+    ids: set = attrs.field(factory=set)
+    ran: list = attrs.field(factory=list)
+
+    def handle(self, request):
+        """Return the parts of the response."""
+        copy = self.refused.pop(request.connection, b'')
+        if request.request_id not in self.ids:
+            self.ids.add(request.request_id)
+            answer = refusal(request, 421)
+            self.refused[request.connection] = answer
+            return [copy + answer]
+        return [copy, self.delay_s, self.run(request)]
+
+    def run(self, request):
+        """Run the request; return the response."""
+        self.ran.append(request.request_id)
+        if request.target.startswith('/ask/'):
+            return workers.stream_response(request)
+        return workers.whole_response(request)
+
+
+class SuccessorAtTheAddress(unittest.TestCase):
+    """A server was replaced at its address while its old entry is there.
+
+    The new one refuses the request that names the old one, and gets it again
+    under its own name.  The copy of the refusal passed for the answer: the
+    caller was told that the request had not run, or it ran elsewhere too.
+    """
+
+    async def _send(self, path, delay_s, has_other):
+        """Return the status of one request and the ids that ran."""
+        service = 'llm' if path == '/ask/' else 'desk'
+        repeater = Repeater(delay_s)
+        successor = workers.Worker('w1', service, repeater.handle)
+        servers = [successor]
+        if has_other:
+            servers.append(workers.Worker('w2', service, repeater.run))
+        cluster = fleet.Fleet(*servers)
+        cluster.store.put('servers/old', successor.entry())
+        async with cluster:
+            headers = fleet.prompt_headers() if service == 'llm' else ()
+            exchange, _ = await cluster.request(
+                'POST', path, *headers, body=b'o'
+            )
+        self.assertEqual(2, len(successor.received))
+        return exchange.status, repeater.ran
+
+    def test_refused_request_runs_once_and_is_answered(self):
+        cases = (
+            ('/place/', False),
+            ('/place/', True),
+            ('/ask/', False),
+        )
+        for path, has_other in cases:
+            for delay_s in (0.0, 0.05):
+                with self.subTest(
+                    path=path, delay_s=delay_s, has_other=has_other
+                ):
+                    status, ran = curio.run(
+                        self._send, path, delay_s, has_other
+                    )
+                    self.assertEqual((200, 1), (status, len(ran)))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/workers.py
+++ b/tests/workers.py
@@ -14,12 +14,16 @@
 
 @attrs.define
 class ReceivedRequest:
-    """A request that a worker received."""
+    """A request that a worker received.
+
+    ``connection`` is the number of the connection on which it came.
+    """
 
     method: str
     target: str
     headers: dict
     body: bytes
+    connection: int = 0
 
     @property
     def request_id(self):
@@ -96,6 +100,7 @@
         self.port = ports.free_port()
         self.received = []
         self.disconnects = 0
+        self.connections = 0
         self.tasks = []
 
     @property
@@ -137,12 +142,15 @@
                 await curio.spawn(self._serve, accepted, daemon=True)
 
     async def _serve(self, sock):
+        self.connections += 1
+        connection = self.connections
         conn = h11.Connection(h11.SERVER)
         async with sock:
             while True:
                 request = await self._read(sock, conn)
                 if request is None:
                     return
+                request.connection = connection
                 self.received.append(request)
                 handler = self.script[0]
                 if len(self.script) > 1:
