Send each request id on a connection once

Callers saw: a request that ran was answered 503, or ran at two servers, where a server that repeats refusals took over an address. Cause: an answer bears the id of its request, not of the send. The pool hands out the connection that was used last, which is the one that the request was refused on, so the copy of the refusal passed for its answer. Change: the pool knows the ids that each connection has carried and leaves a request no connection that had it, whatever the path on which it comes back.

--- a/src/mangorock/client.py
+++ b/src/mangorock/client.py
@@ -5,7 +5,6 @@
 bytes that do not belong to a request.
 """
 
-import collections
 import socket
 
 import curio
@@ -14,12 +13,11 @@
 import h11
 
 from mangorock import buffers
+from mangorock import connection_pool
 from mangorock import exchange as exchanges
 from mangorock import sockets
 from mangorock import turns
 
-MAX_IDLE_PER_ADDRESS = 64
-
 
 class Client:
     """Opens exchanges to addresses (``'IP:port'``) and pools connections.
@@ -44,40 +42,45 @@
         # At most so many connections are kept, None: no limit of their own.
         self.max_sockets = max_sockets
         self.open_count = 0
-        self.idle_connections = collections.defaultdict(collections.deque)
+        self.pool = connection_pool.ConnectionPool()
         self.opened_count = 0
         self.on_response = lambda address, status, raw_headers: None
 
-    async def open(self, address, new_connection=False, max_idle_s=None):
+    async def open(
+        self, address, new_connection=False, max_idle_s=None, request_id=''
+    ):
         """Return an `exchange.Exchange` on a connection to ``address``.
 
         With ``new_connection`` no pooled connection is used: the server may
         have closed it, and then it is unknown whether a request written to
         it was executed.  ``max_idle_s`` limits how long a pooled connection
-        may have been idle.  Raises `OSError` if connecting fails.
+        may have been idle.  ``request_id`` is the id that the answer will
+        bear, '' if it bears none.  Raises `OSError` if connecting fails.
         """
         now = await curio.clock()
-        connections = self.idle_connections[address]
-        while connections and not new_connection:
-            sock, conn, idle_since_s, expires_s = connections[-1]
-            if max_idle_s is not None and now - idle_since_s > max_idle_s:
+        while not new_connection:
+            found = self.pool.take(address, request_id, now, max_idle_s)
+            if found is None:
                 break
-            connections.pop()
-            if now < expires_s and sockets.is_connection_idle(sock):
-                conn.start_next_cycle()
-                return self._make_exchange(address, sock, conn, True)
-            await self._close(sock)
+            if now < found.expires_s and sockets.is_connection_idle(
+                found.sock
+            ):
+                found.conn.start_next_cycle()
+                return self._make_exchange(address, found, request_id, True)
+            await self._close(found.sock)
         await self._close_surplus()
         sock = await self._connect(address)
         self.opened_count += 1
         self.open_count += 1
         conn = h11.Connection(h11.CLIENT)
-        return self._make_exchange(address, sock, conn, False)
+        connection = connection_pool.Connection(sock, conn)
+        return self._make_exchange(address, connection, request_id, False)
 
-    def _make_exchange(self, address, sock, conn, is_reused):
+    def _make_exchange(self, address, connection, request_id, is_reused):
+        connection.on_send(request_id)
         turn = turns.Turn(self.turns)
         return exchanges.Exchange(
-            address, sock, conn, is_reused, turn, self.held
+            address, connection, is_reused, turn, self.held
         )
 
     async def _connect(self, address):
@@ -102,18 +105,12 @@
     async def release(self, exchange):
         """Pool the connection if it is reusable, otherwise close it."""
         self.held.remove(exchange)
-        connections = self.idle_connections[exchange.address]
-        idle_timeout_s = exchange.idle_timeout_s()
-        if (
-            exchange.is_reusable
-            and idle_timeout_s > 0
-            and len(connections) < MAX_IDLE_PER_ADDRESS
-        ):
+        connection, timeout_s = exchange.connection, exchange.idle_timeout_s()
+        if exchange.is_reusable and timeout_s > 0:
+            connection.conn = exchange.conn
             now = await curio.clock()
-            connections.append(
-                (exchange.sock, exchange.conn, now, now + idle_timeout_s)
-            )
-            return
+            if self.pool.put(exchange.address, connection, now, timeout_s):
+                return
         await self.discard(exchange)
 
     async def discard(self, exchange):
@@ -131,24 +128,16 @@
         """Close idle connections beyond ``max_sockets``, the oldest first."""
         if self.max_sockets is None or self.open_count < self.max_sockets:
             return
-        idle = sorted(
-            (connections[0][2], address)
-            for address, connections in self.idle_connections.items()
-            if connections
-        )
-        for _, address in idle:
-            connections = self.idle_connections[address]
-            while connections and self.open_count >= self.max_sockets:
-                await self._close(connections.popleft()[0])
+        while self.open_count >= self.max_sockets:
+            oldest = self.pool.take_oldest()
+            if oldest is None:
+                return
+            await self._close(oldest.sock)
 
     async def close_expired(self):
         """Close pooled connections that have exceeded their idle timeout."""
-        now = await curio.clock()
-        for address, connections in list(self.idle_connections.items()):
-            while connections and connections[0][3] <= now:
-                await self._close(connections.popleft()[0])
-            if not connections:
-                del self.idle_connections[address]
+        for connection in self.pool.take_expired(await curio.clock()):
+            await self._close(connection.sock)
 
     async def call(self, address, method, path, headers=(), body=b''):
         """Send a request that may be repeated; return (status, body).
@@ -180,7 +169,5 @@
 
     async def close(self):
         """Close all pooled connections."""
-        for connections in self.idle_connections.values():
-            for sock, *_ in connections:
-                await self._close(sock)
-        self.idle_connections.clear()
+        for connection in self.pool.take_all():
+            await self._close(connection.sock)
--- a/src/mangorock/exchange.py
+++ b/src/mangorock/exchange.py
@@ -39,10 +39,11 @@
     was cancelled or timed out may be repeated; nothing is lost by it.
     """
 
-    def __init__(self, address, sock, conn, is_reused, turn, held):
+    def __init__(self, address, connection, is_reused, turn, held):
         self.address = address
-        self.sock = sock
-        self.conn = conn
+        self.connection = connection
+        self.sock = connection.sock
+        self.conn = connection.conn
         self.is_reused = is_reused
         self.turn = turn
         self.held = held
--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -96,7 +96,7 @@
 
         ``limits.first_event_s`` is the limit on the whole answer.
         """
-        exchange = await self._open_exchange(dispatch, limits.may_repeat)
+        exchange = await self._open_exchange(request, dispatch, limits)
         if isinstance(exchange, (Unreachable, Unsent)):
             return exchange
         timer = silence.SilenceTimer(limits.first_event_s, limits.may_give_up)
@@ -123,7 +123,7 @@
         coroutine ``feed``.  A server that is given up according to
         ``limits`` counts as broken.
         """
-        exchange = await self._open_exchange(dispatch, limits.may_repeat)
+        exchange = await self._open_exchange(request, dispatch, limits)
         if isinstance(exchange, (Unreachable, Unsent)):
             return exchange
         timer = silence.SilenceTimer(limits.first_event_s, limits.may_give_up)
@@ -173,15 +173,17 @@
         if not relay.splitter.is_between_events:
             raise InvalidAnswer('the stream ended inside an event')
 
-    async def _open_exchange(self, dispatch, may_repeat):
+    async def _open_exchange(self, request, dispatch, limits):
         if not self._wants_requests(dispatch.server):
             return Unsent(UNWANTED)
         self.placer.on_send(dispatch.server)
         self.outliers.on_send(dispatch.server)
-        idle_s = None if may_repeat else MAX_UNSAFE_IDLE_S
+        idle_s = None if limits.may_repeat else MAX_UNSAFE_IDLE_S
         try:
             exchange = await self.client.open(
-                dispatch.server.address, max_idle_s=idle_s
+                dispatch.server.address,
+                max_idle_s=idle_s,
+                request_id=request.request_id,
             )
         except OSError as exc:
             self._release_server(dispatch)
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -9,6 +9,7 @@
 import attrs
 import curio
 
+from mangorock import connection_pool
 from tests import fleet
 from tests import workers
 
@@ -97,5 +98,42 @@
                     self.assertEqual((200, 1), (status, len(ran)))
 
 
+def make_connection(*request_ids):
+    """Return a connection on which these requests were sent."""
+    connection = connection_pool.Connection(None, None)
+    for request_id in request_ids:
+        connection.on_send(request_id)
+    return connection
+
+
+class Pool(unittest.TestCase):
+    """Which connection a request gets."""
+
+    def setUp(self):
+        self.pool = connection_pool.ConnectionPool()
+
+    def _put(self, now, *request_ids):
+        connection = make_connection(*request_ids)
+        self.assertTrue(self.pool.put('a', connection, now, 30.0))
+        return connection
+
+    def test_a_connection_carries_each_id_once(self):
+        older = self._put(0.0, 'r1', 'r2')
+        newer = self._put(1.0, 'r3')
+        self.assertIs(older, self.pool.take('a', 'r3', 2.0))
+        self.assertIsNone(self.pool.take('a', 'r3', 2.0))
+        self.assertIs(newer, self.pool.take('a', 'r1', 2.0))
+
+    def test_an_older_connection_than_allowed_is_no_way_out(self):
+        self._put(0.0, 'r1')
+        self._put(5.0, 'r2')
+        self.assertIsNone(self.pool.take('a', 'r2', 5.5, max_idle_s=1.0))
+
+    def test_a_connection_that_carried_many_requests_is_not_kept(self):
+        ids = [f'r{n}' for n in range(connection_pool.MAX_REQUESTS)]
+        self.assertTrue(self.pool.put('a', make_connection(*ids[1:]), 0, 9))
+        self.assertFalse(self.pool.put('a', make_connection(*ids), 0, 9))
+
+
 if __name__ == '__main__':
     unittest.main()
