Keep calls without an id off the connections of requests

Callers could see: the answer of a call that bears no id (the release of a handle) in place of their own, which ended as 502 although it ran. Cause: such calls used the pooled connections of requests, so an answer too many to either stood where the answer to the other was due. Change: the pool keeps connections with ids and without apart.

--- a/src/mangorock/connection_pool.py
+++ b/src/mangorock/connection_pool.py
@@ -2,7 +2,8 @@
 
 An answer bears the id of its request.  A server may write an answer too many,
 which arrives where the next one is due; the id tells, unless the same request
-is under way there again.  So a connection carries each request id once.
+is under way there again.  So a connection carries each request id once, and
+calls without an id use connections of their own.
 
 `ConnectionPool` is a state machine without sockets.
 
@@ -33,6 +34,7 @@
 
     sock: object
     conn: object
+    has_ids: bool = False
     carried: set = attrs.field(factory=set)
     idle_since_s: float = 0.0
     expires_s: float = 0.0
@@ -49,12 +51,13 @@
     def on_send(self, request_id):
         """Record a request, '' for a call without an id."""
         if request_id:
+            self.has_ids = True
             self.carried.add(hash(request_id))
 
 
 @attrs.define
 class ConnectionPool:
-    """The idle connections by address."""
+    """The idle connections, by address and by whether they carried ids."""
 
     idle: dict = attrs.field(
         factory=lambda: collections.defaultdict(collections.deque)
@@ -62,7 +65,7 @@
 
     def put(self, address, connection, now, idle_timeout_s):
         """Keep a connection; return whether there is room for it."""
-        found = self.idle[address]
+        found = self.idle[address, connection.has_ids]
         is_full = len(found) >= MAX_IDLE_PER_ADDRESS
         if is_full or connection.is_used_up:
             return False
@@ -77,7 +80,7 @@
         Those that carried the request are left out.  Returns None if there
         is no other, or none that was used within ``max_idle_s``.
         """
-        found = self.idle.get(address, ())
+        found = self.idle.get((address, bool(request_id)), ())
         for index in reversed(range(len(found))):
             connection = found[index]
             if (
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -10,7 +10,9 @@
 import curio
 
 from mangorock import connection_pool
+from mangorock import traffic
 from tests import fleet
+from tests import test_front
 from tests import workers
 
 
@@ -129,11 +131,36 @@
         self._put(5.0, 'r2')
         self.assertIsNone(self.pool.take('a', 'r2', 5.5, max_idle_s=1.0))
 
+    def test_calls_without_an_id_share_no_connection_with_requests(self):
+        with_ids, without = self._put(0.0, 'r1'), self._put(1.0)
+        self.assertIs(with_ids, self.pool.take('a', 'r2', 2.0))
+        self.assertIsNone(self.pool.take('a', 'r2', 2.0))
+        self.assertIs(without, self.pool.take('a', '', 2.0))
+
     def test_a_connection_that_carried_many_requests_is_not_kept(self):
         ids = [f'r{n}' for n in range(connection_pool.MAX_REQUESTS)]
         self.assertTrue(self.pool.put('a', make_connection(*ids[1:]), 0, 9))
         self.assertFalse(self.pool.put('a', make_connection(*ids), 0, 9))
 
 
+class CallsWithoutIds(unittest.TestCase):
+    """An answer too many to a request is none to a call without an id.
+
+    The release of a handle used the connection of a request: the copy of its
+    refusal passed for the answer, whose own answer came to the next request.
+    """
+
+    @test_front.run
+    async def test_release_of_a_handle_has_a_connection_of_its_own(self):
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        async with fleet.Fleet(worker) as cluster:
+            await cluster.request('POST', '/place/', body=b'o')
+            sender = cluster.front.gateway.sender
+            await sender.free_handle(traffic.Handle(worker.address, 'h1'))
+            await cluster.request('POST', '/place/', body=b'o')
+        by_connection = [r.connection for r in worker.received]
+        self.assertEqual([1, 2, 1], by_connection)
+
+
 if __name__ == '__main__':
     unittest.main()
