Keep to the limits on requests that servers state

Callers saw: a server in need got many times the requests that it said it takes, 179 in 4 s where 17 are allowed, while others were idle. Cause: the header was not read. A limit that holds for all VMs together needs an agreement on who sends; what was known of servers so far (load, leaving, refusing) each VM could act on by itself. Change: `rate_limits` divides the time into turns and slots, which follow from a hash over the announced VMs and the time of day; servers without a slot are no choice, and requests without a server in time are refused at once. VMs tell each other of limits and of their end.

--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -176,8 +176,9 @@
     engine.  ``servers(service)`` returns the servers that may be used, and
     ``pause(server_id, seconds)`` stops the use of one.
     ``on_stage_request(service, server_id, stage)``, the coroutine
-    ``on_part_message(message)`` and ``on_duty_message(message)``, which
-    returns an answer or None, are set after construction.
+    ``on_part_message(message)``, ``on_server_limit(message)`` and
+    ``on_duty_message(message)``, which returns an answer or None, are set
+    after construction.
     """
 
     def __init__(self, directory, schedulers, servers, pause):
@@ -188,6 +189,7 @@
         self.on_stage_request = None
         self.on_part_message = None
         self.on_duty_message = None
+        self.on_server_limit = None
         self.request_numbers = itertools.count(1)
         self.pending_replies = {}
         self.waiting_services = set()
@@ -371,6 +373,8 @@
                 | messages.PartQuarantined()
             ):
                 await self.on_part_message(message)
+            case messages.ServerLimit():
+                self.on_server_limit(message)
             case (
                 messages.DemandSample()
                 | messages.DemandTaken()
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -27,6 +27,7 @@
 from mangorock import http
 from mangorock import ingress as ingresses
 from mangorock import isolation
+from mangorock import limit_reports
 from mangorock import logs
 from mangorock import mirror
 from mangorock import presence
@@ -88,6 +89,7 @@
         self.ingress.on_closed = self.metrics.count_closed
         self.shutdown = shutdown.Shutdown(self.ingress, self.gateway)
         self.gateway.keys.bound_s = settings.revocation_s
+        self.gateway.registry.rates.vm = settings.vm
         self.is_stopping = False
         self.was_ready = False
         self.store = None
@@ -188,6 +190,9 @@
             )
             endpoint = self.gateway.scheduler_endpoint
             endpoint.on_part_message = self.gateway.isolation.on_message
+            reports = limit_reports.LimitReports(self.gateway, endpoint)
+            endpoint.on_server_limit = reports.on_message
+            self.gateway.sender.tell_limit = reports.tell
             await endpoint.start(settings.peer_address)
             await self._start_staging(store)
             if settings.duties is not None:
@@ -255,6 +260,8 @@
             self._update_directory()
 
     def _update_directory(self):
+        vms = [key.removeprefix(presence.PREFIX) for key in self.vm_items]
+        self.gateway.registry.rates.set_vms(vms)
         if self.directory is None:
             return
         found = map(consultation.decode_peer, self.vm_items.values())
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -22,6 +22,7 @@
 from mangorock import errors
 from mangorock import generation
 from mangorock import ingress
+from mangorock import limited
 from mangorock import logs
 from mangorock import outliers as outliers_module
 from mangorock import placement
@@ -36,6 +37,7 @@
 from mangorock import silence
 from mangorock import traffic
 from mangorock import usage as usages
+from mangorock import waiting
 
 # Range in seconds from which Retry-After is drawn, to spread the callers.
 RETRY_AFTER_RANGE_S = (0.8, 1.6)
@@ -191,7 +193,7 @@
         """
         return seconds * self.rng.uniform(*RETRY_AFTER_SPREAD)
 
-    def eligible_servers(self, context):
+    def untried_servers(self, context):
         """Return the healthy servers that this request has not tried yet."""
         return [
             server
@@ -199,6 +201,15 @@
             if server.incarnation not in context.tried
         ]
 
+    def eligible_servers(self, context):
+        """Return the untried servers that may be sent a request now."""
+        rates, unix_s = self.registry.rates, time.time()
+        return [
+            server
+            for server in self.untried_servers(context)
+            if rates.may_send(server, unix_s)
+        ]
+
     def healthy_servers(self, service):
         """Return the usable servers of a service, without outliers."""
         now = time.monotonic()
@@ -271,9 +282,9 @@
     def _place_eligible(self, context, service):
         servers = self.eligible_servers(context)
         if not servers:
-            raise refusals.no_backend(
-                context, self.retry_after_s(context.service)
-            )
+            until_s = waiting.wait_of_new_request(context).until_s
+            limited.check_any(self, context, until_s)
+            return None
         return self._place_plain(service, servers)
 
     def _place_plain(self, service, servers):
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -17,6 +17,7 @@
 from mangorock import admission
 from mangorock import delivery
 from mangorock import events
+from mangorock import limited
 from mangorock import logs
 from mangorock import messages
 from mangorock import metrics
@@ -87,10 +88,14 @@
         """
         context, prompt = self.context, self.context.request.prompt
         is_generation = self.service.engine is not None and prompt is not None
-        if is_generation and self.gateway.placer.is_long(
-            context.route,
-            context.service,
-            max(0, prompt.tokens - prompt.shared_tokens),
+        if (
+            is_generation
+            and self.gateway.placer.is_long(
+                context.route,
+                context.service,
+                max(0, prompt.tokens - prompt.shared_tokens),
+            )
+            and self._may_ask_scheduler()
         ):
             placed = await self._ask_scheduler()
             if placed is not None:
@@ -115,6 +120,22 @@
             self.context.account_name,
         )
 
+    def _limited(self, servers):
+        """Return the incarnations of the servers that state limits."""
+        return self.gateway.registry.rates.limited(servers, time.time())
+
+    def _may_ask_scheduler(self):
+        """Say whether an engine that decodes is left to the scheduler.
+
+        It does not know the slots of this VM under the limits of engines.
+        """
+        servers = self.gateway.untried_servers(self.context)
+        avoided = self._limited(servers)
+        return not avoided or any(
+            not server.is_prefill_only and server.incarnation not in avoided
+            for server in servers
+        )
+
     async def _ask_scheduler(self):
         """Return the placement that the shared scheduler chose.
 
@@ -173,7 +194,11 @@
             end_left_s=context.left_s,
             output_events=prompt.expected_output_tokens
             / self.service.engine.event_tokens,
-            tried=[server_id for server_id, _ in context.tried],
+            tried=[
+                server_id
+                for server_id, _ in context.tried
+                | self._limited(self.gateway.untried_servers(context))
+            ],
             account=context.account_name,
         )
 
@@ -232,9 +257,7 @@
         gateway, context = self.gateway, self.context
         servers = gateway.eligible_servers(context)
         if not servers and not self.relay.reply.is_started:
-            raise refusals.no_backend(
-                context, gateway.retry_after_s(context.service)
-            )
+            limited.check_any(gateway, context, self._wait().until_s)
         return self._place_on(servers)
 
     def _place_on(self, servers):
@@ -246,7 +269,7 @@
             )
             return server and placement.Placement(server)
         return placer.place_generation(
-            self._make_demand(), servers, time.monotonic()
+            self._make_demand(servers), servers, time.monotonic()
         )
 
     def _place_replacement(self, servers):
@@ -291,13 +314,14 @@
             self.gateway.retry_after_s(self.context.service),
         )
 
-    def _make_demand(self):
+    def _make_demand(self, servers):
         route = self.context.route
         return placement.Demand(
             self.context.request.prompt,
             route.max_gap_s,
             route.target_s,
             self.service.engine.slots if self.service.engine else 1,
+            self._limited(servers),
         )
 
     def _is_final(self, answer):
--- a/src/mangorock/messages.py
+++ b/src/mangorock/messages.py
@@ -4,7 +4,8 @@
 a `Rejection`, or `Queued` and one of the others later.  `Outcome` reports
 what became of an assigned prompt.  `StageRequest` and `EnginePause` concern
 stage changes of engines, `CrashReport`, `PartsServed` and `PartQuarantined`
-parts of prompts that crash engines, `DemandSample`, `DemandTaken`,
+parts of prompts that crash engines, `ServerLimit` limits that servers state,
+`DemandSample`, `DemandTaken`,
 `UsageCounts` and `UsageTaken` the duties of the system.  Any VM may be of
 another build or faulty, so every field is validated: a message with a field
 that makes no sense is not created.
@@ -228,6 +229,18 @@
     term_s: float = attrs.field(validator=_positive_seconds)
 
 
+@attrs.frozen
+class ServerLimit:
+    """A server takes ``per_s`` requests a second, None for any number."""
+
+    server: str = attrs.field(validator=_text)
+    started_ms: int = attrs.field(validator=_milliseconds)
+    address: str = attrs.field(validator=_text)
+    per_s: float | None = attrs.field(
+        validator=attrs.validators.optional(_positive_seconds)
+    )
+
+
 @attrs.frozen
 class DemandSample:
     """The demand at a VM since its last sample.
@@ -303,6 +316,7 @@
     CrashReport,
     PartsServed,
     PartQuarantined,
+    ServerLimit,
     DemandSample,
     DemandTaken,
     UsageCounts,
--- a/src/mangorock/placement.py
+++ b/src/mangorock/placement.py
@@ -69,13 +69,15 @@
     """What a generation requires of an engine with ``slots`` slots.
 
     ``target_s`` is the time until its first event is late, ``max_gap_s`` the
-    longest pause between its events.
+    longest pause between its events.  ``limited`` are the incarnations of
+    servers that state limits on requests.
     """
 
     prompt: object
     max_gap_s: float
     target_s: float
     slots: int
+    limited: frozenset = frozenset()
 
 
 @attrs.frozen
@@ -241,8 +243,11 @@
             wait_s += EXCESS_STREAM_S * excess
             if decode is not affinity_server:
                 wait_s += CACHE_MISS_PENALTY_S
+            # What is prefilled elsewhere might not be sent to it afterwards.
+            is_limited = decode.incarnation in demand.limited
+            prefills = [] if is_limited else prefill_engines
             options += self._options(
-                wait_s, decode, prefill_engines, demand, tokens, now
+                wait_s, decode, prefills, demand, tokens, now
             )
         if not options:
             return None
--- a/src/mangorock/queueing.py
+++ b/src/mangorock/queueing.py
@@ -9,6 +9,7 @@
 
 from mangorock import admission
 from mangorock import errors
+from mangorock import limited
 from mangorock import refusals
 from mangorock import waiting
 
@@ -33,6 +34,9 @@
             queue.shares.on_placed_at_once(wait.flow)
             return found
     own_place = place if wait.is_resumed else None
+    if not wait.is_resumed:
+        ahead = len(queue.waiters)
+        limited.check_turn(gateway, context, wait.until_s, ahead)
     now = time.monotonic()
     ticket = queue.add(
         wait.priority, now, wait.until_s, own_place, wait.account
--- a/src/mangorock/registry.py
+++ b/src/mangorock/registry.py
@@ -13,6 +13,8 @@
   (`Registry.pause`).
 - A server states in a response that it leaves or refuses for a time: it gets
   no new work, whatever its entry says (`availability.Availability`).
+- A server states how many requests it takes: it stays a candidate, and
+  whether it may be sent one now is asked for each (`rate_limits.RateLimits`).
 """
 
 import enum
@@ -20,6 +22,7 @@
 import attrs
 
 from mangorock import availability as availabilities
+from mangorock import rate_limits
 
 # Shorter than the time for which a server that disappeared without notice
 # continues to serve, so that the fallback to lapsed servers never selects one
@@ -82,6 +85,7 @@
     availability: availabilities.Availability = attrs.field(
         factory=availabilities.Availability
     )
+    rates: rate_limits.RateLimits = attrs.field(factory=rate_limits.RateLimits)
 
     def put(self, server):
         """Store an entry; return whether it changed what was known."""
@@ -152,6 +156,7 @@
             del self.servers[server_id]
             self.paused.pop(server_id, None)
         self.availability.forget(self.servers.values(), now)
+        self.rates.forget(self.servers.values())
         return purged_ids
 
     def is_usable(self, server, now):
--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -5,6 +5,7 @@
 `Unreachable` certainly have not run.
 """
 
+import math
 import time
 
 import attrs
@@ -16,7 +17,9 @@
 from mangorock import buffers
 from mangorock import events
 from mangorock import logs
+from mangorock import rate_limits
 from mangorock import silence
+from mangorock import traffic
 
 # Late answers to earlier requests that are skipped on one connection.
 MAX_FOREIGN_ANSWERS = 2
@@ -25,6 +28,8 @@
 MAX_UNSAFE_IDLE_S = 1.0
 # The error of an attempt that was not made.
 UNWANTED = 'the server wants no requests'
+# The error of an attempt for which this VM had no slot under a limit.
+AT_LIMIT = 'the server takes no more requests now'
 # The error of an attempt that was given up because the server was silent.
 SILENT = 'silent'
 
@@ -81,7 +86,8 @@
     """Sends requests to backend servers and records how they went.
 
     The load goes to ``placer``, failures and successes go to ``outliers``,
-    and what servers say of leaving or refusing for a time to ``registry``.
+    and what servers say of leaving, refusing for a time and limits to
+    ``registry``.  ``tell_limit(server, per_s)`` tells the other VMs.
     """
 
     client: object
@@ -90,6 +96,7 @@
     outliers: object
     registry: object
     metrics: object
+    tell_limit: object = attrs.field(default=lambda server, per_s: None)
 
     async def call(self, request, dispatch, limits):
         """Send the request, read the complete answer, return the outcome.
@@ -176,6 +183,8 @@
     async def _open_exchange(self, request, dispatch, limits):
         if not self._wants_requests(dispatch.server):
             return Unsent(UNWANTED)
+        if not self.registry.rates.take(dispatch.server, time.time()):
+            return Unsent(AT_LIMIT)
         self.placer.on_send(dispatch.server)
         self.outliers.on_send(dispatch.server)
         idle_s = None if limits.may_repeat else MAX_UNSAFE_IDLE_S
@@ -204,6 +213,11 @@
             server, time.monotonic()
         )
 
+    def _wants_calls(self, server):
+        """Say whether a server may get calls that callers do not need."""
+        is_limited = self.registry.rates.is_limited(server, time.time())
+        return not is_limited and self._wants_requests(server)
+
     def _note_availability(self, server, answer):
         """Record what a server says of leaving or refusing for a time."""
         known, now = self.registry.availability, time.monotonic()
@@ -241,13 +255,38 @@
         if server is not None:
             answer = self.wire.decode_answer(status, raw_headers)
             self._note_availability(server, answer)
+            self._note_limit(server, answer, -math.inf)
+
+    def _note_limit(self, server, answer, sent_unix_s):
+        """Record the limit on requests that a server states, or its end."""
+        if answer.status == traffic.MISDIRECTED:
+            # Another server responded.
+            return
+        rates, stated = self.registry.rates, answer.limit_per_s
+        change = rates.on_answer(server, stated, sent_unix_s, time.time())
+        match change:
+            case rate_limits.LimitChange.INVALID:
+                known = self.registry.availability
+                if not known.is_report_due(server, time.monotonic()):
+                    return
+            case None:
+                return
+            case _:
+                self.tell_limit(server, rate_limits.bound_per_s(stated))
+        self.metrics.add(f'server_limit_{change.value}')
+        logs.event(
+            f'server_limit_{change.value}',
+            server=server.server_id,
+            service=server.service,
+            per_s=stated,
+        )
 
     async def _send_and_read_head(self, exchange, request, dispatch, timer):
         """Send the request and return the `traffic.Answer` that belongs to it.
 
         Late answers to earlier requests on the connection are skipped.
         """
-        sent_s = time.monotonic()
+        sent_s, sent_unix_s = time.monotonic(), time.time()
         headers = self.wire.encode_headers(request, dispatch)
         await exchange.write(
             request.method, request.target, headers, request.body
@@ -275,6 +314,7 @@
             check_origin(answer, True)
         now = time.monotonic()
         server, report = dispatch.server, answer.load
+        self._note_limit(server, answer, sent_unix_s)
         if answer.has_not_run:
             self.placer.on_refusal(server, report, now)
         else:
@@ -310,7 +350,7 @@
     async def free_handle(self, handle):
         """Tell an engine to drop a prefilled prompt that is not needed."""
         server = self.registry.server_at(handle.address)
-        if server is not None and not self._wants_requests(server):
+        if server is not None and not self._wants_calls(server):
             # The engine drops it when the handle expires.
             return
         method, path = self.wire.encode_handle_release(handle)
--- a/src/mangorock/traffic.py
+++ b/src/mangorock/traffic.py
@@ -11,8 +11,10 @@
 from mangorock import registry
 
 
+#: Another server responded than the request was sent to.
+MISDIRECTED = 421
 #: Statuses that tell callers that a request has not run.
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+NOT_RUN_STATUSES = frozenset((408, MISDIRECTED, 429, 503))
 
 
 @attrs.frozen
@@ -143,8 +145,9 @@
     server states that it did not run the request, ``is_encoded`` that the
     body has a content encoding and so is not as the server wrote it.
     ``is_leaving`` says that the server stops soon, ``retry_after_s`` for how
-    long it wants no requests: None if it does not say, NaN if what it says
-    is not a number.
+    long it wants no requests, and ``limit_per_s`` how many requests a second
+    it takes from all VMs: None if it does not say, NaN if what it says is not
+    a number.
     """
 
     status: int
@@ -156,6 +159,7 @@
     load: LoadReport | None = None
     is_leaving: bool = False
     retry_after_s: float | None = None
+    limit_per_s: float | None = None
 
     @property
     def refusal_s(self):
