Fetch documents from engines that state a limit

Cause: engines with a limit were named to the scheduler as tried, which also took their documents out of reach: each was prefilled again elsewhere. Change: a placement request names them apart, as engines to fetch from only.

--- a/src/mangorock/backlog.py
+++ b/src/mangorock/backlog.py
@@ -75,7 +75,7 @@
     def refresh(self, request, reply, now):
         """Update a prompt that waits already; return whether it does."""
         known = self.prompts.get(request.request_id)
-        if known is None or known.request.tried != request.tried:
+        if known is None or _excluded(known.request) != _excluded(request):
             return False
         known.reply = reply
         known.gives_up_at_s = min(known.gives_up_at_s, now + request.left_s)
@@ -188,6 +188,11 @@
         return sum(p.cost_s for p in self.prompts.values())
 
 
+def _excluded(request):
+    """Return the servers that a request must not be assigned to."""
+    return request.tried, request.avoided
+
+
 def _sort_key(prompt, now):
     if prompt.may_be_in_time(now):
         latest_start_s = prompt.target_at_s - prompt.shortest_s
--- a/src/mangorock/choice.py
+++ b/src/mangorock/choice.py
@@ -145,11 +145,11 @@
 
         One that is in time, ``target_left_s`` from now, goes before others.
         """
-        prefills = _untried(self.prefills, request)
-        decodes = _untried(self.decodes, request)
+        prefills = _usable(self.prefills, request)
+        decodes = _usable(self.decodes, request)
         if not decodes:
             return None
-        sources = self._sources(request, prefills + decodes, decodes)
+        sources = self._sources(request)
         target = min(
             decodes,
             key=lambda s: self._stream_cost_s(request, s, sources),
@@ -179,10 +179,12 @@
                 return [*found, state]
         return found
 
-    def _sources(self, request, states, decodes):
+    def _sources(self, request):
         """Return the `Sources` of the request's document."""
         if not request.shared_tokens:
             return Sources([], None)
+        decodes = _untried(self.decodes, request)
+        states = _untried(self.prefills, request) + decodes
         holders = [
             state.server
             for state in states
@@ -293,6 +295,14 @@
         states.sort(key=self._ordinary_finish_s)
 
 
+def _usable(states, request):
+    """Return the states of servers that the request may be sent to."""
+    untried = _untried(states, request)
+    if not request.avoided:
+        return untried
+    return [s for s in untried if s.server.server_id not in request.avoided]
+
+
 def _untried(states, request):
     """Return the states of servers that the request has not tried."""
     if not request.tried:
--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -48,6 +48,8 @@
 # Interval at which waiting prompts are assigned, which bounds the cost of many
 # outcomes in a short time.
 WAITING_INTERVAL_S = 0.006
+# Fields that a message has only if they are not empty.
+NEWER_FIELDS = 'account', 'avoided'
 MESSAGES = {kind.__name__: kind for kind in messages.KINDS}
 
 
@@ -64,9 +66,10 @@
 def encode(number, message):
     """Return the datagram for a message."""
     fields = attrs.asdict(message)
-    if not fields.get('account', True):
-        # A VM of an earlier build does not know this field.
-        del fields['account']
+    for name in NEWER_FIELDS:
+        if not fields.get(name, True):
+            # A VM of an earlier build does not know this field.
+            del fields[name]
     return orjson.dumps([type(message).__name__, number, fields])
 
 
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -194,12 +194,14 @@
             end_left_s=context.left_s,
             output_events=prompt.expected_output_tokens
             / self.service.engine.event_tokens,
-            tried=[
-                server_id
-                for server_id, _ in context.tried
-                | self._limited(self.gateway.untried_servers(context))
-            ],
+            tried=[server_id for server_id, _ in context.tried],
             account=context.account_name,
+            avoided=sorted(
+                server_id
+                for server_id, _ in self._limited(
+                    self.gateway.untried_servers(context)
+                )
+            ),
         )
 
     def _resolve_assignment(self, assignment):
@@ -209,6 +211,8 @@
         servers that this VM no longer uses.
         """
         gateway, context = self.gateway, self.context
+        untried = gateway.untried_servers(context)
+        known = {server.server_id: server for server in untried}
         usable = {s.server_id: s for s in gateway.eligible_servers(context)}
         decode = usable.get(assignment.decode)
         prefill = usable.get(assignment.prefill)
@@ -220,7 +224,7 @@
             decode,
             prefill,
             assignment.tokens,
-            usable.get(assignment.fetch_from),
+            known.get(assignment.fetch_from),
             assignment.cost_s,
         )
 
--- a/src/mangorock/messages.py
+++ b/src/mangorock/messages.py
@@ -85,8 +85,9 @@
     0 is the most urgent of new requests, `RESUMED_PRIORITY` is for a stream
     that is resumed.
     ``output_events`` is the expected number of events.  ``tried`` are the
-    ids of servers that must not be used.  ``account`` is the name of the
-    client account, '' without one.
+    ids of servers that must not be used, ``avoided`` of those that are only
+    good to fetch a document from.  ``account`` is the name of the client
+    account, '' without one.
     """
 
     service: str = attrs.field(validator=_text)
@@ -103,6 +104,7 @@
     output_events: float = attrs.field(validator=_count, default=0.0)
     tried: tuple = attrs.field(validator=_texts, converter=tuple, default=())
     account: str = attrs.field(validator=_text, default='')
+    avoided: tuple = attrs.field(validator=_texts, converter=tuple, default=())
 
 
 @attrs.frozen
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -110,6 +110,16 @@
         self.assertEqual('decode2', best.decode.server.server_id)
         self.assertIsNone(self.best(tried=('decode1', 'decode2')))
 
+    def test_document_is_fetched_from_an_engine_with_a_limit(self):
+        # Documents of engines that took few requests were prefilled again at
+        # the others, which had no room for their own prompts then.
+        self.engines['decode1'].cache.touch('d', 9000, 0.0)
+        best = self.best(
+            document='d', shared_tokens=9000, avoided=('decode1',)
+        )
+        self.assertEqual('decode2', best.decode.server.server_id)
+        self.assertEqual('decode1', best.fetch_from.server_id)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_consultation.py
+++ b/tests/test_consultation.py
@@ -97,6 +97,9 @@
             messages.EnginePause('s', 'd', 6.0),
             messages.StageRequest('s', 'd', 'prefill'),
             messages.Outcome('s', 'r1', 0.2, 'p', 'd', 1, 2, 8),
+            test_scheduler.make_request('r1', avoided=('a', 'b')),
+            messages.ServerLimit('i-1', 7, '10.0.0.1:80', 1.5),
+            messages.ServerLimit('i-1', 7, '10.0.0.1:80', None),
         ):
             data = consultation.encode(7, message)
             self.assertEqual((7, message), consultation.decode(data))
