Refuse at once what engines with limits cannot take in time

Callers saw: while all decode engines of a trial stated limits, refused prompts waited half a second, their target latency, before they were told. Cause: an engine that only prefills has no limit and counted as one that would take them; a long prompt with nowhere to go stood before the others. Change: engines that only prefill do not count. A long prompt is placed by the VM with a slot taken before its prefill, and its document is fetched from an engine that takes no requests now. The test asks for refusals by the counter and has a case with a prefill engine.

--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -203,12 +203,23 @@
 
     def eligible_servers(self, context):
         """Return the untried servers that may be sent a request now."""
-        rates, unix_s = self.registry.rates, time.time()
-        return [
-            server
+        untried, rates = self.untried_servers(context), self.registry.rates
+        if not rates.limits:
+            return untried
+        unix_s = time.time()
+        return [s for s in untried if rates.may_send(s, unix_s)]
+
+    def limited_ids(self, context):
+        """Return the ids of the untried servers that state limits, sorted."""
+        rates = self.registry.rates
+        if not rates.limits:
+            return []
+        unix_s = time.time()
+        return sorted(
+            server.server_id
             for server in self.untried_servers(context)
-            if rates.may_send(server, unix_s)
-        ]
+            if rates.is_limited(server, unix_s)
+        )
 
     def healthy_servers(self, service):
         """Return the usable servers of a service, without outliers."""
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -120,20 +120,15 @@
             self.context.account_name,
         )
 
-    def _limited(self, servers):
-        """Return the incarnations of the servers that state limits."""
-        return self.gateway.registry.rates.limited(servers, time.time())
-
     def _may_ask_scheduler(self):
         """Say whether an engine that decodes is left to the scheduler.
 
         It does not know the slots of this VM under the limits of engines.
         """
-        servers = self.gateway.untried_servers(self.context)
-        avoided = self._limited(servers)
+        avoided = self.gateway.limited_ids(self.context)
         return not avoided or any(
-            not server.is_prefill_only and server.incarnation not in avoided
-            for server in servers
+            not server.is_prefill_only and server.server_id not in avoided
+            for server in self.gateway.untried_servers(self.context)
         )
 
     async def _ask_scheduler(self):
@@ -196,12 +191,7 @@
             / self.service.engine.event_tokens,
             tried=[server_id for server_id, _ in context.tried],
             account=context.account_name,
-            avoided=sorted(
-                server_id
-                for server_id, _ in self._limited(
-                    self.gateway.untried_servers(context)
-                )
-            ),
+            avoided=self.gateway.limited_ids(context),
         )
 
     def _resolve_assignment(self, assignment):
@@ -273,7 +263,7 @@
             )
             return server and placement.Placement(server)
         return placer.place_generation(
-            self._make_demand(servers), servers, time.monotonic()
+            self._make_demand(), servers, time.monotonic()
         )
 
     def _place_replacement(self, servers):
@@ -318,14 +308,14 @@
             self.gateway.retry_after_s(self.context.service),
         )
 
-    def _make_demand(self, servers):
+    def _make_demand(self):
         route = self.context.route
         return placement.Demand(
             self.context.request.prompt,
             route.max_gap_s,
             route.target_s,
             self.service.engine.slots if self.service.engine else 1,
-            self._limited(servers),
+            tuple(self.gateway.untried_servers(self.context)),
         )
 
     def _is_final(self, answer):
@@ -341,9 +331,14 @@
         self.pending_prompt = prefill.PendingPrompt(
             placer, reader, placed.tokens, placed.cost_s
         )
-        is_handle_used = False
+        is_handle_used = has_slot = False
         try:
             if placed.prefill is not None:
+                # Later the engine might take no request of this VM.
+                rates = self.gateway.registry.rates
+                has_slot = rates.take(placed.decode, time.time())
+                if not has_slot:
+                    return sending.Unsent(sending.AT_LIMIT)
                 handle = await self._prefill(placed)
                 self.context.prompt_read_at_s = time.monotonic()
                 if handle is None:
@@ -353,7 +348,7 @@
                 placer, placed.decode, self._on_first_event, self._report_pace
             )
             try:
-                outcome = await self._decode(placed, handle)
+                outcome = await self._decode(placed, handle, has_slot)
             finally:
                 self.relay.report_pace()
             is_handle_used = isinstance(outcome, sending.Streamed)
@@ -455,7 +450,7 @@
             return ''
         return server.address
 
-    async def _decode(self, placed, handle):
+    async def _decode(self, placed, handle, has_slot):
         gateway, context = self.gateway, self.context
         server, affinity_server = placed.decode, placed.affinity_server
         is_cached_elsewhere = handle is None and affinity_server not in (
@@ -468,6 +463,7 @@
             context,
             server,
             handle=handle,
+            has_slot=has_slot,
             fetch_from=self._source_address(affinity_server)
             if is_cached_elsewhere
             else '',
--- a/src/mangorock/limited.py
+++ b/src/mangorock/limited.py
@@ -20,7 +20,7 @@
     rates = gateway.registry.rates
     if not rates.limits:
         return
-    servers = gateway.untried_servers(context)
+    servers = _running_servers(gateway, context)
     wait_s = rates.queue_wait_s(servers, ahead, time.time())
     if time.monotonic() + wait_s > until_s:
         gateway.metrics.add('refused_at_server_limit')
@@ -30,11 +30,17 @@
 def check_any(gateway, context, until_s):
     """Return if one of the servers of a request will take it in time.
 
-    To be called if none may be sent it now.  Raises `errors.NoBackend` if
-    there is no server, and `errors.Overloaded` like `check_turn`.
+    Raises `errors.NoBackend` if there is none, and `errors.Overloaded` like
+    `check_turn`.
     """
-    if not gateway.untried_servers(context):
+    if not _running_servers(gateway, context):
         raise refusals.no_backend(
             context, gateway.retry_after_s(context.service)
         )
     check_turn(gateway, context, until_s, 0)
+
+
+def _running_servers(gateway, context):
+    """Return the untried servers that run requests, not only prefill them."""
+    servers = gateway.untried_servers(context)
+    return [server for server in servers if not server.is_prefill_only]
--- a/src/mangorock/placement.py
+++ b/src/mangorock/placement.py
@@ -69,15 +69,15 @@
     """What a generation requires of an engine with ``slots`` slots.
 
     ``target_s`` is the time until its first event is late, ``max_gap_s`` the
-    longest pause between its events.  ``limited`` are the incarnations of
-    servers that state limits on requests.
+    longest pause between its events.  ``sources`` are the servers that a
+    cached prefix may be fetched from, also those that take no requests now.
     """
 
     prompt: object
     max_gap_s: float
     target_s: float
     slots: int
-    limited: frozenset = frozenset()
+    sources: tuple = ()
 
 
 @attrs.frozen
@@ -229,7 +229,10 @@
         """
         decode_engines = [s for s in servers if not s.is_prefill_only]
         prefill_engines = [s for s in servers if s.is_prefill_only]
-        affinity_server = self._affinity_server(demand.prompt, decode_engines)
+        sources = [s for s in demand.sources if not s.is_prefill_only]
+        affinity_server = self._affinity_server(
+            demand.prompt, sources or decode_engines
+        )
         tokens = demand.prompt.tokens
         if affinity_server is not None:
             # Assume that some engine has a shared part this long cached.
@@ -243,11 +246,8 @@
             wait_s += EXCESS_STREAM_S * excess
             if decode is not affinity_server:
                 wait_s += CACHE_MISS_PENALTY_S
-            # What is prefilled elsewhere might not be sent to it afterwards.
-            is_limited = decode.incarnation in demand.limited
-            prefills = [] if is_limited else prefill_engines
             options += self._options(
-                wait_s, decode, prefills, demand, tokens, now
+                wait_s, decode, prefill_engines, demand, tokens, now
             )
         if not options:
             return None
--- a/src/mangorock/rate_limits.py
+++ b/src/mangorock/rate_limits.py
@@ -273,16 +273,6 @@
             share_per_s += known.used_per_s / max(1, sharers)
         return first_s + ahead / share_per_s
 
-    def limited(self, servers, unix_s):
-        """Return the incarnations of those of ``servers`` that have limits."""
-        if not self.limits:
-            return frozenset()
-        return frozenset(
-            server.incarnation
-            for server in servers
-            if self.is_limited(server, unix_s)
-        )
-
     def forget(self, servers):
         """Drop the limits of servers other than these."""
         keys = {_key(server) for server in servers}
--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -183,7 +183,10 @@
     async def _open_exchange(self, request, dispatch, limits):
         if not self._wants_requests(dispatch.server):
             return Unsent(UNWANTED)
-        if not self.registry.rates.take(dispatch.server, time.time()):
+        rates = self.registry.rates
+        if not dispatch.has_slot and not rates.take(
+            dispatch.server, time.time()
+        ):
             return Unsent(AT_LIMIT)
         self.placer.on_send(dispatch.server)
         self.outliers.on_send(dispatch.server)
--- a/src/mangorock/traffic.py
+++ b/src/mangorock/traffic.py
@@ -109,7 +109,8 @@
     it first fetches that KV cache.  ``fetch_from`` is the address of an
     engine whose cached prefix may be copied.  ``resume_after`` is the id of
     the last event that the caller has received.  ``account`` is the name of
-    the client account, '' if there is none.
+    the client account, '' if there is none.  ``has_slot`` says that a slot
+    under the server's limit on requests was taken for it.
     """
 
     server: registry.BackendServer
@@ -120,6 +121,7 @@
     resume_after: int | None = None
     priority: int | None = None
     account: str = ''
+    has_slot: bool = False
 
 
 @attrs.frozen
--- a/tests/test_limited_servers.py
+++ b/tests/test_limited_servers.py
@@ -54,31 +54,53 @@
             self.assertLessEqual(len(window), ALLOWED)
         self.assertTrue(counted)
 
-    @test_front.run
-    async def test_request_that_no_server_takes_in_time_is_refused(self):
-        # Each would have waited for its turn until its time was over.
-        servers = [
-            workers.Worker(f'w{n}', 'desk', name_limit) for n in range(2)
-        ]
+    async def _ask_at_once(self, servers, method, path, *headers):
+        """Return the responses to 40 requests after the limit is known.
+
+        They are refused without waiting for their turn until their time is
+        over.
+        """
+        found = []
         async with fleet.Fleet(*servers) as cluster:
-            found = []
 
             async def ask():
-                sent_s = time.monotonic()
-                exchange, _ = await cluster.request('GET', '/look/')
-                found.append((exchange, time.monotonic() - sent_s))
+                exchange, _ = await cluster.request(method, path, *headers)
+                found.append(exchange)
 
+            await ask()
+            counts = cluster.front.metrics.counts
             tasks = [await curio.spawn(ask) for _ in range(40)]
             for task in tasks:
                 await task.join()
-            tasks = [await curio.spawn(ask) for _ in range(40)]
-            for task in tasks:
-                await task.join()
-        refused = [pair for pair in found[40:] if pair[0].status == 503]
+            self.assertGreater(counts['refused_at_server_limit'], 30)
+        self.assertNotIn('server-limit', found[0].headers)
+        refused = [exchange for exchange in found if exchange.status == 503]
         self.assertGreater(len(refused), 30)
-        for exchange, _ in refused:
+        for exchange in refused:
             self.assertGreater(float(exchange.headers['retry-after']), 0)
-        self.assertNotIn('server-limit', found[0][0].headers)
+
+    @test_front.run
+    async def test_request_that_no_server_takes_in_time_is_refused(self):
+        server = workers.Worker('w1', 'desk', name_limit)
+        await self._ask_at_once([server], 'GET', '/look/')
+
+    @test_front.run
+    async def test_prompt_that_no_engine_takes_in_time_is_refused(self):
+        # An engine that only prefills cannot serve it.
+        def name_limit_in_stream(request):
+            limit = b'Server-Limit: %.1f' % LIMIT_PER_S
+            chunked = b'Transfer-Encoding: chunked'
+            head = workers.response_head(request, limit, chunked)
+            return head + workers.event_chunks(1, 4) + b'0\r\n\r\n'
+
+        engines = [
+            workers.Worker('d1', 'llm', name_limit_in_stream, stage='decode'),
+            workers.Worker(
+                'p1', 'llm', workers.whole_response, stage='prefill'
+            ),
+        ]
+        headers = fleet.prompt_headers()
+        await self._ask_at_once(engines, 'POST', '/read/', *headers)
 
 
 if __name__ == '__main__':
