Let a VM keep two slots that it has not used

Cause: requests do not come as regularly as slots, and a VM whose queue was empty at a slot lost it. Change: the last two slots of a turn are kept; those who share a turn are never more than the limit, so 4 s hold 6 times it and 2.

--- a/src/mangorock/rate_limits.py
+++ b/src/mangorock/rate_limits.py
@@ -8,8 +8,8 @@
   server belongs to a few VMs, which follow from a hash over the names of the
   VMs: all that have the same list come to the same result.
 - A turn is divided into slots of 1 / limit seconds, which go round among these
-  VMs.  In each of its slots a VM may send one request; a slot that was not
-  used is kept until the VM's next one.
+  VMs.  In each of its slots a VM may send one request; it keeps the last
+  `MAX_KEPT_SLOTS` that it has not used, within a turn.
 
 So a share of less than one request in a turn is no request in most turns.
 Clocks and lists that differ a little give a little more than the limit; a VM
@@ -48,6 +48,8 @@
 # VMs that share a server in a turn have this many slots in it on average, so
 # that their requests come more regularly than the turns.
 SLOTS_PER_TURN = 5
+# Requests do not come as regularly as slots.
+MAX_KEPT_SLOTS = 2
 # A VM that hears from another one that a limit has ended uses the server
 # again after a part of this time.
 RETURN_S = 2.0
@@ -68,14 +70,14 @@
     """What is known of the limit of one server.
 
     ``stated_s`` is when it was last stated to this VM or others.
-    ``taken_at_s`` is the begin of the last slot that this VM used, and
-    ``ends_at_s`` when the limit ends, if that is known.  All are times of
-    day.  ``told_turn`` is the turn in which the other VMs were last told.
+    ``ends_at_s`` is when the limit ends, if that is known.  Both are times of
+    day.  ``taken`` is the turn and the number of the last slot that this VM
+    used, ``told_turn`` the turn in which the other VMs were last told.
     """
 
     per_s: float
     stated_s: float
-    taken_at_s: float = -math.inf
+    taken: tuple | None = None
     ends_at_s: float = math.inf
     told_turn: int | None = None
 
@@ -195,32 +197,32 @@
         known = self._known(server, unix_s)
         if known is None:
             return True
-        slot_at_s = self._slot_at_s(server, known, unix_s)
-        return slot_at_s is not None and slot_at_s > known.taken_at_s
+        return self._free_slot(server, known, unix_s) is not None
 
     def take(self, server, unix_s):
         """Use this VM's slot for a request; return whether it has one."""
         known = self._known(server, unix_s)
         if known is None:
             return True
-        slot_at_s = self._slot_at_s(server, known, unix_s)
-        if slot_at_s is None or slot_at_s <= known.taken_at_s:
+        slot = self._free_slot(server, known, unix_s)
+        if slot is None:
             return False
-        known.taken_at_s = slot_at_s
+        known.taken = known.turn(unix_s), slot
         return True
 
-    def _slot_at_s(self, server, known, unix_s):
-        """Return when the last slot of this VM in the turn began, or None."""
-        # The clock was set back.
-        known.taken_at_s = min(known.taken_at_s, unix_s)
+    def _free_slot(self, server, known, unix_s):
+        """Return the number of the first slot kept for this VM, or None."""
         turn = known.turn(unix_s)
         owners = self._owners(server, known, turn)
         if self.vm not in owners:
             return None
-        begin_s, rank = turn * known.turn_s, owners.index(self.vm)
-        slot = int((unix_s - begin_s) * known.used_per_s)
-        own_slot = slot - (slot - rank) % len(owners)
-        return begin_s + own_slot / known.used_per_s if own_slot >= 0 else None
+        rank = owners.index(self.vm)
+        now_slot = int((unix_s - turn * known.turn_s) * known.used_per_s)
+        newest = now_slot - (now_slot - rank) % len(owners)
+        slot = max(rank, newest - (MAX_KEPT_SLOTS - 1) * len(owners))
+        if known.taken is not None and known.taken[0] == turn:
+            slot = max(slot, known.taken[1] + len(owners))
+        return slot if slot <= newest else None
 
     def _owners(self, server, known, turn):
         count = known.sharers(len(self.vms))
@@ -245,14 +247,11 @@
             owners = self._owners(server, known, number)
             if self.vm not in owners:
                 continue
-            begin_s, rank = number * known.turn_s, owners.index(self.vm)
-            passed = max(0.0, unix_s - begin_s) * per_s
-            rounds = max(0, math.ceil((passed - rank) / len(owners)))
-            slot_at_s = begin_s + (rounds * len(owners) + rank) / per_s
-            if slot_at_s <= known.taken_at_s:
-                slot_at_s += len(owners) / per_s
-            if slot_at_s < begin_s + known.turn_s:
-                return max(0.0, slot_at_s - unix_s)
+            begin_s, slot = number * known.turn_s, owners.index(self.vm)
+            while begin_s + slot / per_s <= unix_s:
+                slot += len(owners)
+            if slot / per_s < known.turn_s:
+                return begin_s + slot / per_s - unix_s
         return len(self.vms) / known.sharers(len(self.vms)) * known.turn_s
 
     def queue_wait_s(self, servers, ahead, unix_s):
