Take no answer from a head with a second status line

Callers saw: 503 for a request that ran, or 200 for a failure, where a server wrote a part of an answer too many before the next answer. Cause: a line that is cut within a header value or a reason phrase ends with the status line of the next answer, whose headers then count as those of the first. The id of the request is among them, so it does not tell. Change: a head in which a status line stands within a value is no answer, on any connection and for calls without an id too: a server whose handler fails within a head writes its error behind it in the same way.

--- a/src/mangorock/exchange.py
+++ b/src/mangorock/exchange.py
@@ -1,5 +1,6 @@
 """One HTTP/1.1 request to a server and its response, on curio and h11."""
 
+import re
 import socket
 
 import curio
@@ -23,12 +24,17 @@
 # server may respond before it has read the whole body.
 LONG_BODY_BYTES = 16384
 METHODS_WITH_BODY = frozenset(('POST', 'PUT', 'PATCH'))
+STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-5][0-9][0-9]')
 
 
 class AnswerTooLongError(OSError):
     """A server sent more than an answer may have."""
 
 
+class JoinedAnswersError(OSError):
+    """A server wrote an answer within the head of another one."""
+
+
 class Exchange:
     """One request to a server and its response.
 
@@ -95,14 +101,20 @@
             logs.debug('body_not_sent', server=self.address, error=repr(exc))
 
     async def read_head(self):
-        """Read the status and headers of the response."""
+        """Read the status and headers of the response.
+
+        Raises `JoinedAnswersError` if it is unknown to which of two responses
+        they belong.
+        """
         event = await self._next_event()
         for _ in range(MAX_INTERIM_RESPONSES):
             if not isinstance(event, h11.InformationalResponse):
                 break
+            self._check_head(event)
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ConnectionResetError('connection closed before the response')
+        self._check_head(event)
         self.status = event.status_code
         self.raw_headers = event.headers.raw_items()
         self.headers = {
@@ -110,6 +122,20 @@
             for name, value in event.headers
         }
 
+    def _check_head(self, event):
+        """Raise `JoinedAnswersError` for a head with a second status line.
+
+        A server that cuts an answer off within a header value, or within its
+        reason phrase, and writes the next one behind it puts the headers of
+        the next one under the first status.
+        """
+        values = [event.reason, *(value for _, value in event.headers)]
+        if any(map(STATUS_LINE.search, values)):
+            raise JoinedAnswersError(
+                f'{self.address} wrote an answer within the head of another '
+                'one; check the server'
+            )
+
     def expect_response(self):
         """Prepare to read another response, after this one was read.
 
