Show that the copy of a refusal begins its time again

Cause: not changed yet; Retry-After is read from each head on a connection, also from one to another request, whose time began when it was written first.

--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -16,11 +16,12 @@
 from tests import workers
 
 
-def refusal(request, status):
+def refusal(request, status, *more):
     """Return a refusal that bears the id of its request."""
     lines = [
         b'HTTP/1.1 %d X' % status,
         b'X-Not-Executed: 1',
+        *more,
         b'Content-Length: 4',
         b'X-Request-Id: ' + request.request_id.encode(),
     ]
@@ -100,6 +101,35 @@
                     self.assertEqual((200, 1), (status, len(ran)))
 
 
+class TimeOfARefusal(unittest.TestCase):
+    """A server refuses for a time, which a copy does not begin again.
+
+    The copy came before the first answer after that time, and the server got
+    no requests for as long once more.
+    """
+
+    @test_front.run
+    async def test_server_is_used_after_the_time_that_it_named(self):
+        def refuse_first(request):
+            if len(worker.received) == 1:
+                return refused(request)
+            return refused(worker.received[0]) + workers.whole_response(
+                request
+            )
+
+        def refused(request):
+            return refusal(request, 503, b'Retry-After: 0.3')
+
+        worker = workers.Worker('w1', 'desk', refuse_first)
+        statuses = []
+        async with fleet.Fleet(worker) as cluster:
+            for pause_s in (0.0, 0.0, 0.4, 0.0):
+                await curio.sleep(pause_s)
+                exchange, _ = await cluster.request('GET', '/look/')
+                statuses.append(exchange.status)
+        self.assertEqual([503, 503, 200, 200], statuses)
+
+
 def make_connection(*request_ids):
     """Return a connection on which these requests were sent."""
     connection = connection_pool.Connection(None, None)
