Begin the time of a refusal with its own answer only

Callers saw: 503 after the time that a server had named, as it got no requests for as long once more. Cause: Retry-After was read from each head on a connection. An answer to another request is late, so its time began when it was due. Change: an answer that bears the id of another request says nothing of a time any more; that the server leaves holds as before, as it does not end. Result: test_server_is_used_after_the_time_that_it_named failed on the commit before and passes.

--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -218,8 +218,11 @@
         is_limited = self.registry.rates.is_limited(server, time.time())
         return not is_limited and self._wants_requests(server)
 
-    def _note_availability(self, server, answer):
-        """Record what a server says of leaving or refusing for a time."""
+    def _note_availability(self, server, answer, is_late=False):
+        """Record what a server says of leaving or refusing for a time.
+
+        The time of a refusal that ``is_late`` began before it was read.
+        """
         known, now = self.registry.availability, time.monotonic()
         if answer.is_leaving and known.on_leaving(server):
             self.metrics.add('server_leaving')
@@ -230,7 +233,7 @@
                 started_ms=server.started_ms,
             )
         stated_s = answer.refusal_s
-        if stated_s is None:
+        if stated_s is None or is_late:
             return
         used_s = availability.bound_refusal_s(stated_s)
         if used_s != stated_s and known.is_report_due(server, now):
@@ -292,10 +295,10 @@
             request.method, request.target, headers, request.body
         )
         await timer.read(exchange.read_head)
-        answer = self._read_answer(exchange, dispatch)
+        answer = self._read_answer(exchange, request, dispatch)
         check_origin(answer, exchange.is_reused)
         foreign_answers = 0
-        while answer.request_id not in ('', request.request_id):
+        while is_foreign(answer, request):
             foreign_answers += 1
             logs.warning(
                 'foreign_answer',
@@ -310,7 +313,7 @@
             await timer.read(exchange.read)
             exchange.expect_response()
             await timer.read(exchange.read_head)
-            answer = self._read_answer(exchange, dispatch)
+            answer = self._read_answer(exchange, request, dispatch)
             check_origin(answer, True)
         now = time.monotonic()
         server, report = dispatch.server, answer.load
@@ -323,10 +326,11 @@
             check_success(answer)
         return answer
 
-    def _read_answer(self, exchange, dispatch):
+    def _read_answer(self, exchange, request, dispatch):
         """Decode the head of an answer, also of one to another request."""
         answer = self.wire.decode_answer(exchange.status, exchange.raw_headers)
-        self._note_availability(dispatch.server, answer)
+        is_late = is_foreign(answer, request)
+        self._note_availability(dispatch.server, answer, is_late)
         return answer
 
     def _broken_outcome(self, dispatch, error):
@@ -364,6 +368,11 @@
             )
 
 
+def is_foreign(answer, request):
+    """Say whether an answer bears the id of another request."""
+    return answer.request_id not in ('', request.request_id)
+
+
 def check_origin(answer, has_earlier_requests):
     """Raise `InvalidAnswer` for an answer that may be to another request.
 
