Show that the last of two ids counts

Cause: not changed yet; the headers of a message are read into a map, so the last id stands for all.

--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -101,6 +101,45 @@
                     self.assertEqual((200, 1), (status, len(ran)))
 
 
+class TwoIds(unittest.TestCase):
+    """A message with two ids belongs to none of the two requests.
+
+    Before, the last one counted.
+    """
+
+    @test_front.run
+    async def test_answer_with_two_ids_is_skipped(self):
+        # A request that ran was answered 503.
+        def answer(request):
+            first = worker.received[0]
+            if request is first:
+                return workers.whole_response(request)
+            name = b'X-Request-Id: ' + first.request_id.encode()
+            both = refusal(request, 503, name)
+            return both + workers.whole_response(request)
+
+        worker = workers.Worker('w1', 'desk', answer)
+        async with fleet.Fleet(worker) as cluster:
+            for _ in range(2):
+                exchange, _ = await cluster.request(
+                    'POST', '/place/', body=b'o'
+                )
+        self.assertEqual((200, 2), (exchange.status, len(worker.received)))
+
+    @test_front.run
+    async def test_request_with_two_ids_is_refused(self):
+        # A server that answers to the first of them had run it in vain.
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        async with fleet.Fleet(worker) as cluster:
+            statuses = []
+            for other in ('other', 'r2'):
+                exchange, _ = await cluster.request(
+                    'POST', '/place/', ('x-request-id', other), body=b'o'
+                )
+                statuses.append(exchange.status)
+        self.assertEqual(([400, 200], 1), (statuses, len(worker.received)))
+
+
 class TimeOfARefusal(unittest.TestCase):
     """A server refuses for a time, which a copy does not begin again.
 
