Show that a prompt gets the handle of another one

Cause: not changed yet; the product's calls to engines bear no id that an answer repeats, but share connections, so nothing tells the copy of an earlier answer.

--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -9,7 +9,9 @@
 import attrs
 import curio
 
+from mangorock import client
 from mangorock import connection_pool
+from mangorock import engine
 from mangorock import traffic
 from tests import fleet
 from tests import test_front
@@ -230,6 +232,30 @@
         by_connection = [r.connection for r in worker.received]
         self.assertEqual([1, 2, 1], by_connection)
 
+    @test_front.run
+    async def test_prompt_gets_its_own_handle(self):
+        # The copy of an engine's answer to an earlier prompt came first, and
+        # the decode engine went on from the KV cache of that prompt.
+        def prefill(request):
+            copy = copies.pop(request.connection, b'')
+            body = b'{"handle":"h%d"}' % len(worker.received)
+            length = b'Content-Length: %d' % len(body)
+            head = b'HTTP/1.1 200 OK\r\n' + length + b'\r\n\r\n'
+            copies[request.connection] = head + body
+            return [copy, 0.02, head + body]
+
+        worker, copies = workers.Worker('e1', 'llm', prefill), {}
+        await worker.start()
+        caller = client.Client()
+        found = []
+        for number in range(3):
+            job = engine.Job(f'r{number}', f'prompt {number}', 8)
+            kv = await engine.prefill(caller, worker.address, job)
+            found.append(kv['handle'])
+        await caller.close()
+        await worker.close()
+        self.assertEqual(['h1', 'h2', 'h3'], found)
+
 
 if __name__ == '__main__':
     unittest.main()
