Give each call without an id a connection to itself

Callers could see: text that goes on from the KV cache of another prompt, where an engine writes an answer to a prefill once more. Cause: `Client.call` took up connections that had carried other calls. Its answers bear no id, so the late answer to one call passes for that of the next, also if it comes after the check that the connection is quiet. Change: each call has a connection to itself, which is closed afterwards, and so have the writes to the platform and the calls of plain services, which had left theirs to calls.

--- a/src/mangorock/client.py
+++ b/src/mangorock/client.py
@@ -142,30 +142,27 @@
     async def call(self, address, method, path, headers=(), body=b''):
         """Send a request that may be repeated; return (status, body).
 
-        If the request fails, it is sent once more on a new connection.
-        Raises `OSError` or `h11.ProtocolError`.
+        If the request fails, it is sent once more.  Raises `OSError` or
+        `h11.ProtocolError`.
         """
         try:
-            return await self._call(
-                address, method, path, headers, body, False
-            )
+            return await self.call_once(address, method, path, headers, body)
         except (OSError, h11.ProtocolError):
-            return await self._call(address, method, path, headers, body, True)
+            return await self.call_once(address, method, path, headers, body)
 
     async def call_once(self, address, method, path, headers=(), body=b''):
-        """Like `call`, but never send the request twice."""
-        return await self._call(address, method, path, headers, body, True)
+        """Like `call`, but never send the request twice.
 
-    async def _call(
-        self, address, method, path, headers, body, new_connection
-    ):
-        exchange = await self.open(address, new_connection)
+        Each call has a connection to itself: the answer bears no id, so on a
+        shared one it could be the late answer to an earlier call.
+        """
+        exchange = await self.open(address, new_connection=True)
         try:
             await exchange.send(method, path, headers, body)
             self.on_response(address, exchange.status, exchange.raw_headers)
             return exchange.status, await exchange.read()
         finally:
-            await self.release(exchange)
+            await self.discard(exchange)
 
     async def close(self):
         """Close all pooled connections."""
--- a/src/mangorock/platform.py
+++ b/src/mangorock/platform.py
@@ -147,7 +147,7 @@
                 'the value back to learn whether it took effect'
             )
         finally:
-            await self.client.release(exchange)
+            await self.client.discard(exchange)
         if status >= 500:
             raise errors.PlatformUnavailable(
                 f'the platform refused {method} {path} with {status}; try '
--- a/src/mangorock/services.py
+++ b/src/mangorock/services.py
@@ -283,7 +283,7 @@
     except (OSError, h11.ProtocolError):
         raise AttemptEnded(attempts.End.BROKEN)
     finally:
-        await client.release(exchange)
+        await client.discard(exchange)
     if is_peer and calls.REFUSED_HEADER in exchange.headers:
         if exchange.headers[calls.REFUSED_HEADER] != 'not_run':
             raise AttemptEnded(attempts.End.BROKEN)
