--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -9,18 +9,21 @@
 import attrs
 import curio
 
+from mangorock import client
 from mangorock import connection_pool
+from mangorock import engine
 from mangorock import traffic
 from tests import fleet
 from tests import test_front
 from tests import workers
 
 
-def refusal(request, status):
+def refusal(request, status, *more):
     """Return a refusal that bears the id of its request."""
     lines = [
         b'HTTP/1.1 %d X' % status,
         b'X-Not-Executed: 1',
+        *more,
         b'Content-Length: 4',
         b'X-Request-Id: ' + request.request_id.encode(),
     ]
@@ -100,6 +103,74 @@
                     self.assertEqual((200, 1), (status, len(ran)))
 
 
+class TwoIds(unittest.TestCase):
+    """A message with two ids belongs to none of the two requests.
+
+    Before, the last one counted.
+    """
+
+    @test_front.run
+    async def test_answer_with_two_ids_is_skipped(self):
+        # A request that ran was answered 503.
+        def answer(request):
+            first = worker.received[0]
+            if request is first:
+                return workers.whole_response(request)
+            name = b'X-Request-Id: ' + first.request_id.encode()
+            both = refusal(request, 503, name)
+            return both + workers.whole_response(request)
+
+        worker = workers.Worker('w1', 'desk', answer)
+        async with fleet.Fleet(worker) as cluster:
+            for _ in range(2):
+                exchange, _ = await cluster.request(
+                    'POST', '/place/', body=b'o'
+                )
+        self.assertEqual((200, 2), (exchange.status, len(worker.received)))
+
+    @test_front.run
+    async def test_request_with_two_ids_is_refused(self):
+        # A server that answers to the first of them had run it in vain.
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        async with fleet.Fleet(worker) as cluster:
+            statuses = []
+            for other in ('other', 'r2'):
+                exchange, _ = await cluster.request(
+                    'POST', '/place/', ('x-request-id', other), body=b'o'
+                )
+                statuses.append(exchange.status)
+        self.assertEqual(([400, 200], 1), (statuses, len(worker.received)))
+
+
+class TimeOfARefusal(unittest.TestCase):
+    """A server refuses for a time, which a copy does not begin again.
+
+    The copy came before the first answer after that time, and the server got
+    no requests for as long once more.
+    """
+
+    @test_front.run
+    async def test_server_is_used_after_the_time_that_it_named(self):
+        def refuse_first(request):
+            if len(worker.received) == 1:
+                return refused(request)
+            return refused(worker.received[0]) + workers.whole_response(
+                request
+            )
+
+        def refused(request):
+            return refusal(request, 503, b'Retry-After: 0.3')
+
+        worker = workers.Worker('w1', 'desk', refuse_first)
+        statuses = []
+        async with fleet.Fleet(worker) as cluster:
+            for pause_s in (0.0, 0.0, 0.4, 0.0):
+                await curio.sleep(pause_s)
+                exchange, _ = await cluster.request('GET', '/look/')
+                statuses.append(exchange.status)
+        self.assertEqual([503, 503, 200, 200], statuses)
+
+
 def make_connection(*request_ids):
     """Return a connection on which these requests were sent."""
     connection = connection_pool.Connection(None, None)
@@ -161,6 +232,30 @@
         by_connection = [r.connection for r in worker.received]
         self.assertEqual([1, 2, 1], by_connection)
 
+    @test_front.run
+    async def test_prompt_gets_its_own_handle(self):
+        # The copy of an engine's answer to an earlier prompt came first, and
+        # the decode engine went on from the KV cache of that prompt.
+        def prefill(request):
+            copy = copies.pop(request.connection, b'')
+            body = b'{"handle":"h%d"}' % len(worker.received)
+            length = b'Content-Length: %d' % len(body)
+            head = b'HTTP/1.1 200 OK\r\n' + length + b'\r\n\r\n'
+            copies[request.connection] = head + body
+            return [copy, 0.02, head + body]
+
+        worker, copies = workers.Worker('e1', 'llm', prefill), {}
+        await worker.start()
+        caller = client.Client()
+        found = []
+        for number in range(3):
+            job = engine.Job(f'r{number}', f'prompt {number}', 8)
+            kv = await engine.prefill(caller, worker.address, job)
+            found.append(kv['handle'])
+        await caller.close()
+        await worker.close()
+        self.assertEqual(['h1', 'h2', 'h3'], found)
+
 
 if __name__ == '__main__':
     unittest.main()
