Count repeated prefills as servers of a request

Callers saw: requests ran on more servers than their route allows. Cause: the number of servers was that of sends which run. A call that only prefills is free only the first time that a server accepts it; a later one, after its answer was lost or the decode broke, is a server more. Change: the context counts sends that may have run and prefills that may have been accepted, and says what the route still allows. Where it allows one more server and no prefill, the decode engine prefills. A refusal counts as no server, as it did not run. The tests of test_server_counts failed before and pass.

--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -300,8 +300,7 @@
                 context, server, lambda s: self._place_plain(service, s)
             ),
         )
-        context.sends += 1
-        may_have_run_before, context.may_have_run = context.may_have_run, True
+        may_have_run_before = context.begin_attempt()
         is_counted = self.count_start(context)
         outcome = await self.sender.call(context.request, dispatch, limits)
         context.record_outcome(outcome, may_have_run_before)
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -280,6 +280,8 @@
         placed = self._place_on(servers)
         if placed is None:
             return None
+        if not self.context.is_prefill_left:
+            placed = attrs.evolve(placed, prefill=None)
         reader = placed.prefill or placed.decode
         model = self.gateway.placer.model
         needed_s = DECODE_RESERVE_S + model.seconds(reader, placed.tokens)
@@ -287,15 +289,13 @@
             return None
         if placed.prefill is None:
             return placed
-        if self.prefill_attempts >= MAX_PREFILL_ATTEMPTS:
-            return None
-        is_paid = self.context.ledger.reserve(time.monotonic(), True)
-        return placed if is_paid else None
+        return placed if self._may_prefill() else None
 
     def _may_prefill(self):
         """Reserve a prefill and its decode; return whether that is allowed."""
         return (
             self.prefill_attempts < MAX_PREFILL_ATTEMPTS
+            and self.context.is_prefill_left
             and self.context.ledger.reserve(time.monotonic(), True)
         )
 
@@ -303,10 +303,11 @@
         """Return the placement without its prefill engine.
 
         The decode engine prefills then, which delays its other streams: only
-        an answer that was begun is worth that.  Raises
-        `errors.BackendRefused` for others.
+        an answer that was begun is worth that, or a request that the route
+        allows on one more server only.  Raises `errors.BackendRefused` for
+        others.
         """
-        if self.relay.reply.is_started:
+        if self.relay.reply.is_started or not self.context.is_prefill_left:
             return attrs.evolve(placed, prefill=None)
         self._notify_scheduler(messages.NOT_PREFILLED)
         raise refusals.backend_refused(
@@ -414,6 +415,7 @@
             raise refusals.no_answer_in_time(
                 context, gateway.retry_after_s(context.service)
             )
+        context.prefills += 1
         try:
             async with curio.timeout_after(wait_s):
                 outcome = await gateway.sender.call(
@@ -433,6 +435,9 @@
                 return gateway.wire.decode_handle(server.address, body)
             case sending.Unreachable() | sending.Unsent():
                 context.ledger.on_unreachable()
+                context.prefills -= 1
+            case sending.Refused():
+                context.prefills -= 1
         context.tried.add(server.incarnation)
         await accounting.record_attempt(gateway, context, server, outcome)
         if not isinstance(outcome, (sending.Refused, sending.Unsent)):
@@ -475,8 +480,7 @@
                 context, server, self._place_replacement
             ),
         )
-        context.sends += 1
-        may_have_run_before, context.may_have_run = context.may_have_run, True
+        may_have_run_before = context.begin_attempt()
         outcome = await gateway.sender.stream(
             context.request, dispatch, self.relay, limits
         )
--- a/src/mangorock/retries.py
+++ b/src/mangorock/retries.py
@@ -22,7 +22,7 @@
     return (
         answer.status >= 500
         and context.route.is_repeatable
-        and context.sends < context.route.max_servers
+        and context.is_server_left
         and context.left_s > silence.MIN_ATTEMPT_TIMEOUT_S
         and context.ledger.can_pay(time.monotonic())
     )
@@ -53,7 +53,7 @@
             _reserve(gateway, context)
             gateway.metrics.count_retry(metrics.RetryReason.REFUSED)
         case _:
-            if not route.is_repeatable or context.sends >= route.max_servers:
+            if not route.is_repeatable or not context.is_server_left:
                 raise refusals.backend_broken()
             _reserve(gateway, context)
             gateway.metrics.count_retry(metrics.RetryReason.BROKEN)
--- a/src/mangorock/silence.py
+++ b/src/mangorock/silence.py
@@ -104,7 +104,7 @@
     ``context`` is the request's `context.RequestContext`.
     """
     route = context.route
-    if not route.is_repeatable or context.sends + 1 >= route.max_servers:
+    if not route.is_repeatable or context.servers + 1 >= route.max_servers:
         return SilenceLimits(route.is_repeatable)
     limit_s = context.left_s * ATTEMPT_TIMEOUT_FRACTION
     return SilenceLimits(
@@ -120,7 +120,7 @@
     ``context`` is the request's `context.RequestContext`.
     """
     route = context.route
-    if not route.is_resumable or context.sends + 1 >= route.max_servers:
+    if not route.is_resumable or context.servers + 1 >= route.max_servers:
         return SilenceLimits(route.is_repeatable)
     least_s = MIN_SILENCE_LIMIT_S
     if route.caller_read_timeout_s is not None:
