Read a request that came as its connection expired

Callers saw: a connection that ended without an answer, with a request sent while its VM stood still past the idle timeout; the VM logged connection_failed. Cause: moved READ_BYTES from the client to the exchange, and the reading of such a request, which happens rarely, still named the client: an AttributeError. Change: it names the exchange.

--- a/src/mangorock/reading.py
+++ b/src/mangorock/reading.py
@@ -10,8 +10,8 @@
 import h11
 
 from mangorock import buffers
-from mangorock import client
 from mangorock import errors
+from mangorock import exchange
 from mangorock import logs
 from mangorock import sockets
 from mangorock import turns
@@ -138,7 +138,7 @@
         )
         if not is_unread:
             raise ConnectionIdle(f'no bytes came for {waited_s:.3f} s')
-        return await sock.recv(client.READ_BYTES)
+        return await sock.recv(exchange.READ_BYTES)
 
 
 async def _wait_for_room(connection):
