Let servers of the soak repeat refusals and be replaced

Cause: no server of the soak wrote a refusal twice, and a server kept its id as long as it lived. Servers are replaced at their address, several at a time, with another id or only a later start, with connections that go on or are reset; the entry of the old one stays for a while, and what names it is answered 421. The VMs and the servers have modules of their own.

--- a/tests/process.py
+++ b/tests/process.py
@@ -8,8 +8,8 @@
 
 from mangorock import client as clients
 from tests import fleet
-from tests import soak
 from tests import soak_proxy
+from tests import soak_vms
 from tests import workers
 
 
@@ -25,7 +25,7 @@
         sound = workers.Worker('s1', 'desk', workers.whole_response)
         self.servers = [sound, *servers]
         proxy = soak_proxy.Proxy(('127.0.0.1', self.store.port))
-        self.vm = soak.Vm(0, pathlib.Path(folder), proxy)
+        self.vm = soak_vms.Vm(0, pathlib.Path(folder), proxy)
         self.client = clients.Client()
         self.request_count = 0
 
@@ -48,7 +48,7 @@
         await self.client.close()
 
     async def _wait_until_served(self):
-        async with curio.timeout_after(soak.START_TIMEOUT_S):
+        async with curio.timeout_after(soak_vms.START_TIMEOUT_S):
             while True:
                 try:
                     if await self.request('/look/') == 200:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -10,34 +10,27 @@
 """
 
 import argparse
-import os
 import pathlib
 import signal
-import subprocess
 import sys
 import tempfile
 import time
 
-import attrs
 import curio
 import h11
-import orjson
 
 from mangorock import client as clients
-from tests import arrivals
 from tests import fleet
 from tests import soak_audit
+from tests import soak_backends
 from tests import soak_callers
 from tests import soak_plans
 from tests import soak_proxy
+from tests import soak_replacements
+from tests import soak_vms
 from tests import soak_world
 
-# Grace periods that the settings files give.
-GRACE_CHOICES_S = (3, 5)
 KEPT_CALLERS_PER_VM = 5
-# SIGHUP is sent to a stopping VM only this soon after SIGTERM.
-HANGUP_AFTER_TERM_S = 1.5
-START_TIMEOUT_S = 20.0  # A VM starts within this time even on a busy host.
 # Each VM serves every kind of request within this time after the last fault.
 RECOVERY_TIMEOUT_S = 20.0
 ACTIONS = (
@@ -62,130 +55,6 @@
 SERIES_ACTIONS = ('config', 'config', 'term', 'hangup', 'hangups', 'drain')
 
 
-@attrs.define(eq=False)
-class Vm:
-    """An entry VM: its process and the proxy between it and the store.
-
-    ``is_interrupted`` is true while the process is being restarted or is
-    paused; no other signal is sent to it as a fault then, except SIGHUP.
-    ``history`` is a list of (name, moment) of ``start``, ``term``, ``kill``,
-    ``exit``, ``pause`` and ``resume``.
-    """
-
-    number: int
-    folder: pathlib.Path
-    proxy: soak_proxy.Proxy
-    process: object = None
-    is_interrupted: bool = False
-    grace_s: float = GRACE_CHOICES_S[0]
-    history: list = attrs.field(factory=list)
-
-    def record(self, name):
-        """Add an event to the history."""
-        self.history.append((name, soak_world.now()))
-
-    @property
-    def log_path(self):
-        """Return the path of the log of all processes of this VM."""
-        return self.folder / f'vm-{self.number}.log'
-
-    @property
-    def settings_path(self):
-        """Return the path of the settings file."""
-        return self.folder / f'vm-{self.number}.json'
-
-    def handles(self, number):
-        """Return whether the process has a handler of this signal.
-
-        A new one gets its handlers some milliseconds after its start, and
-        a stopping one loses them just before its end.
-        """
-        status = pathlib.Path(f'/proc/{self.process.pid}/status')
-        try:
-            lines = status.read_text().splitlines()
-        except OSError:
-            # The process has ended.
-            return False
-        for line in lines:
-            name, _, value = line.partition(':')
-            if name == 'SigCgt':
-                return bool(int(value, 16) >> (number - 1) & 1)
-        return False
-
-    def hang_up(self):
-        """Send SIGHUP unless that would end the process.
-
-        Not late in a stop, when the handlers are removed.
-        """
-        is_late = (
-            self.history[-1][0] == 'term'
-            and soak_world.now() - self.history[-1][1] > HANGUP_AFTER_TERM_S
-        )
-        if self.handles(signal.SIGHUP) and not is_late:
-            self.process.send_signal(signal.SIGHUP)
-
-    @property
-    def ip(self):
-        """Return a loopback address that concurrent runs do not share.
-
-        It is derived from the id of this process.
-        """
-        pid = os.getpid()
-        return f'127.{1 + pid // 250 % 250}.{pid % 250}.{10 + self.number}'
-
-    @property
-    def address(self):
-        """Return the address that callers connect to."""
-        return f'{self.ip}:8144'
-
-    def write_settings(self):
-        """Write the settings file."""
-        settings = {
-            'nodeName': f'vm-{self.number}',
-            'ip': self.ip,
-            'zone': 'ab'[self.number % 2],
-            'region': 'r',
-            'listen': {'front': self.address, 'ready': f'{self.ip}:8140'},
-            'internalPorts': [7660, 7675],
-            'limits': {'cpuShare': 1.0, 'cores': 1, 'memoryMb': 160},
-            'bounds': {
-                'graceS': self.grace_s,
-                'retryBudgetRatio': arrivals.RATIO,
-                'budgetWindowS': arrivals.WINDOW_S,
-                'budgetSlack': arrivals.SLACK,
-            },
-            'platform': {'address': f'127.0.0.1:{self.proxy.port}'},
-        }
-        newer = self.settings_path.with_suffix('.new')
-        newer.write_bytes(orjson.dumps(settings))
-        newer.replace(self.settings_path)
-
-    def start(self):
-        """Write the settings file and start the process."""
-        self.write_settings()
-        self.record('start')
-        with open(self.log_path, 'ab') as log:
-            self.process = subprocess.Popen(
-                [sys.executable, str(fleet.ROOT / 'platform' / 'serve.py')],
-                env={
-                    **os.environ,
-                    'MANGOROCK_BOOT': str(self.settings_path),
-                },
-                stdout=log,
-                stderr=log,
-            )
-
-    async def stop(self, number, wait_s=START_TIMEOUT_S):
-        """Send a terminating signal and return the exit status."""
-        self.record('kill' if number == signal.SIGKILL else 'term')
-        self.process.send_signal(number)
-        async with curio.timeout_after(wait_s):
-            while self.process.poll() is None:
-                await curio.sleep(0.02)
-        self.record('exit')
-        return self.process.returncode
-
-
 class Soak:
     """One seed: the fleet, the faults and the check of the recovery."""
 
@@ -198,11 +67,11 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         self.version = 2
         self.sequence = 1
-        self.servers, self.proxies, self.drained = [], {}, set()
+        self.servers, self.proxies, self.changing = [], {}, set()
         self.disturbances = []
         self.configs = soak_plans.Configs(soak_world.make_rng(seed, 'config'))
         self.vms = [
-            Vm(
+            soak_vms.Vm(
                 number,
                 self.folder,
                 soak_proxy.Proxy(('127.0.0.1', self.store.port)),
@@ -213,6 +82,9 @@
             vm.log_path.unlink(missing_ok=True)
         self.client = clients.Client()
         self.tasks = []
+        self.replacements = soak_replacements.Replacements(
+            self, soak_world.make_rng(seed, 'replace')
+        )
 
     async def start(self):
         """Start the stand-ins and then the VMs."""
@@ -229,7 +101,7 @@
     async def _add_server(self, service, stage):
         name = f'{stage or service}-{len(self.servers)}'
         rng = soak_world.make_rng(self.seed, name)
-        server = soak_world.Server(name, service, self.checker, rng, stage)
+        server = soak_backends.Server(name, service, self.checker, rng, stage)
         await server.start()
         proxy = soak_proxy.Proxy(('127.0.0.1', server.port))
         await proxy.start()
@@ -247,7 +119,7 @@
                 await vm.stop(signal.SIGKILL)
             await vm.proxy.close()
         for server in self.servers:
-            await self.proxies[server.name].close()
+            await self.proxies[server.place].close()
             await server.close()
         await self.store.close()
         await self.client.close()
@@ -260,16 +132,18 @@
             for number in range(8):
                 rng = soak_world.make_rng(self.seed, 'caller', number)
                 caller = soak_world.Caller(number, self.checker, rng, self.vms)
-                await self._spawn(caller.run, self.client)
+                await self.spawn(caller.run, self.client)
             for number in range(KEPT_CALLERS_PER_VM * len(self.vms)):
-                await self._spawn(
-                    self._make_kept_caller(number).run, self.client
-                )
+                caller = soak_callers.make_kept_caller(self, number)
+                await self.spawn(caller.run, self.client)
             end_s = soak_world.now() + seconds
-            await self._spawn(self._refuse_services, end_s)
+            rng = soak_world.make_rng(self.seed, 'refuse')
+            refuse = soak_backends.refuse_services
+            await self.spawn(refuse, self.servers, rng, end_s)
+            await self.spawn(self.replacements.run, end_s)
             while soak_world.now() < end_s:
                 action = self.rng.choice(ACTIONS)
-                await self._spawn(getattr(self, f'_{action}'))
+                await self.spawn(getattr(self, f'_{action}'))
                 await curio.sleep(self.rng.uniform(0.1, 1.2))
             await self._recover()
             self._check_processes()
@@ -279,15 +153,6 @@
         self.checker.check_arrivals()
         return self.checker.violations
 
-    def _make_kept_caller(self, number):
-        return soak_callers.KeptCaller(
-            number,
-            self.checker,
-            soak_world.make_rng(self.seed, 'kept', number),
-            self.vms,
-            lambda: self.configs.idle_timeout_s,
-        )
-
     def _check_processes(self):
         """Check that no process ended that was not told to."""
         for vm in self.vms:
@@ -309,10 +174,11 @@
             self.disturbances,
             self.configs.least_idle_s,
             self.configs.least_timeout_s,
-            min(GRACE_CHOICES_S),
+            min(soak_vms.GRACE_CHOICES_S),
         ).run()
 
-    async def _spawn(self, function, *args):
+    async def spawn(self, function, *args):
+        """Start a task that is cancelled at the end."""
         self.tasks.append(await curio.spawn(function, *args))
 
     async def _recover(self):
@@ -326,7 +192,7 @@
             served = False
             try:
                 async with curio.timeout_after(
-                    START_TIMEOUT_S + RECOVERY_TIMEOUT_S
+                    soak_vms.START_TIMEOUT_S + RECOVERY_TIMEOUT_S
                 ):
                     while not served:
                         served = await self._serves_every_kind(vm)
@@ -359,22 +225,6 @@
         await curio.sleep(self.rng.uniform(0.3, 3.0))
         setattr(target, name, normal)
 
-    async def _refuse_services(self, end_s):
-        """Have all servers of a service refuse everything, at times."""
-        rng = soak_world.make_rng(self.seed, 'refuse')
-        while True:
-            await curio.sleep(rng.uniform(0.5, 4.0))
-            service = rng.choice(('desk', 'annex', 'llm'))
-            refuse_s = rng.uniform(0.5, 4.0)
-            if soak_world.now() + refuse_s > end_s:
-                return
-            servers = [s for s in self.servers if s.service == service]
-            for server in servers:
-                server.refuses_all = True
-            await curio.sleep(refuse_s)
-            for server in servers:
-                server.refuses_all = False
-
     async def _proxy_store(self):
         proxy = self.rng.choice(self.vms).proxy
         mode = self.rng.choice(soak_proxy.MODES)
@@ -434,7 +284,7 @@
     async def _hangup(self):
         """Change a settings file and announce that by SIGHUP."""
         vm = self.rng.choice(self.vms)
-        vm.grace_s = self.rng.choice(GRACE_CHOICES_S)
+        vm.grace_s = self.rng.choice(soak_vms.GRACE_CHOICES_S)
         vm.write_settings()
         vm.hang_up()
 
@@ -454,18 +304,18 @@
 
     async def _server_fault(self):
         server = self.rng.choice(self.servers)
-        fault = self.rng.choice(soak_world.FAULTS)
+        fault = self.rng.choice(soak_backends.FAULTS)
         await self._set_temporarily(server, 'fault', fault, 'fine')
 
     async def _drain(self):
         """Drain a server after starting its replacement."""
         server = self.rng.choice(self.servers)
-        if server.name in self.drained:
+        if server.place in self.changing:
             return
-        self.drained.add(server.name)
+        self.changing.add(server.place)
         await self._add_server(server.service, server.stage)
         self.sequence += 1
-        port = self.proxies[server.name].port
+        port = self.proxies[server.place].port
         entry = server.proxied_entry(port, 'draining', self.sequence)
         self.store.put(f'servers/{server.name}', entry)
         await curio.sleep(2.5)
@@ -479,14 +329,15 @@
         """Start planned changes in quick succession, so that they overlap."""
         for _ in range(self.rng.randrange(3, 9)):
             action = self.rng.choice(SERIES_ACTIONS)
-            await self._spawn(getattr(self, f'_{action}'))
+            await self.spawn(getattr(self, f'_{action}'))
             await curio.sleep(self.rng.choice((0.0, 0.02, 0.3)))
 
 
 def run_seed(seed, seconds, vms=3, folder=None):
     """Run one seed and return its `soak_world.InvariantChecker`."""
     with tempfile.TemporaryDirectory() as temporary:
-        soak = Soak(seed, vms, pathlib.Path(folder or temporary, f'{seed}'))
+        path = pathlib.Path(folder or temporary, f'{seed}')
+        soak = Soak(seed, vms, path)
         curio.run(soak.run, seconds)
     return soak.checker
 
@@ -514,7 +365,8 @@
         }
         print(
             f'seed {seed}: {served} of {total} answers are a success; '
-            f'excused {excused}',
+            f'excused {excused}; copies of refusals '
+            f'{checker.counts["copies", "sent"]}',
             flush=True,
         )
         for line in checker.violations[:10]:
--- a/tests/soak_audit.py
+++ b/tests/soak_audit.py
@@ -74,7 +74,7 @@
     """The evidence of one seed.
 
     ``logs`` maps the numbers of the VMs to `LogRecords`; ``disturbances``
-    are (server, start, end) of network faults; ``least_idle_s``,
+    are (place, start, end) of network faults; ``least_idle_s``,
     ``least_timeout_s`` and ``least_grace_s`` are the shortest idle timeout,
     time limit and grace period in force at any time.
     """
@@ -212,10 +212,14 @@
         if attempt.request_id in self.checker.broken:
             return True
         records = self.logs.get(attempt.vm.number, LogRecords())
-        servers = records.servers.get(attempt.request_id, ())
+        # A server that was replaced has the name of its place and a number.
+        places = {
+            name.partition('.')[0]
+            for name in records.servers.get(attempt.request_id, ())
+        }
         span = attempt.sent_s, attempt.ended_s
         return any(
-            server in servers
+            place in places
             and soak_world.overlaps(span, start_s, end_s + AFTER_FAULT_S)
-            for server, start_s, end_s in self.disturbances
+            for place, start_s, end_s in self.disturbances
         )
--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -14,6 +14,17 @@
 MAX_RETRY_WAIT_S = 0.5
 
 
+def make_kept_caller(world, number):
+    """Return a `KeptCaller` of a `soak.Soak`."""
+    return KeptCaller(
+        number,
+        world.checker,
+        soak_world.make_rng(world.seed, 'kept', number),
+        world.vms,
+        lambda: world.configs.idle_timeout_s,
+    )
+
+
 class KeptCaller(soak_world.Caller):
     """Sends requests on one connection as long as the VM keeps it open.
 
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -1,4 +1,4 @@
-"""Backend servers, callers and the invariant checker of the soak test.
+"""Callers and the invariant checker of the soak test.
 
 Backend servers record each execution of a request, and the answers that
 callers receive are compared with these records.  Each violated invariant is
@@ -12,29 +12,18 @@
 import attrs
 import curio
 import h11
-import orjson
 
 from mangorock import sockets
 from tests import arrivals as arrival_logs
 from tests import fleet
-from tests import workers
 
 EVENTS = 6  # The number of events in a complete stream.
 # Statuses that say that the request was not executed.
 NOT_RUN = frozenset((408, 421, 429, 503))
 # Kinds of requests that run at most once.
 RUNS_ONCE = frozenset(('unsafe', 'once'))
-# ``full`` refuses the request as not executed, ``cut`` closes the connection
-# in the middle of the answer, ``foreign`` sends an answer to another request
-# first, ``extra`` sends a second answer and ``hang`` executes the request but
-# closes the connection after 6 s without an answer.  On streams, ``foreign``
-# has no effect and ``extra`` acts like ``cut``.  ``silent`` pauses before a
-# part of an answer that is sound and complete.
-FAULTS = ('fine', 'full', 'cut', 'foreign', 'extra', 'hang', 'silent')
-BREAKING_FAULTS = frozenset(('cut', 'foreign', 'extra', 'hang'))
 # The services that the routes of a kind of request may lead to.
 SERVICES = {'safe': ('desk', 'annex'), 'unsafe': ('desk', 'annex')}
-SILENCE_RANGE_S = (0.4, 2.2)
 
 
 @attrs.define
@@ -136,95 +125,6 @@
     return '/read/', fleet.prompt_headers(9000, parts)
 
 
-class Server(workers.Worker):
-    """A backend server that records executions and injects faults."""
-
-    def __init__(self, name, service, checker, rng, stage=None):
-        super().__init__(name, service, self._run, stage=stage)
-        self.checker, self.rng = checker, rng
-        self.fault, self.fault_share = 'fine', 0.3
-        self.refuses_all, self.refused = False, set()
-
-    def proxied_entry(self, port, state='ready', sequence=1):
-        """Return the server's store entry with the address of its proxy."""
-        entry = self.entry(state, sequence)
-        entry['address'] = f'127.0.0.1:{port}'
-        return entry
-
-    def _run(self, request):
-        response = self._respond(request)
-        # Reports, and handles that are freed, have no id.
-        if request.request_id:
-            is_accepted = request.request_id not in self.refused
-            self.checker.arrivals.record_arrival(
-                request, self.service, is_accepted, now()
-            )
-            self.refused.discard(request.request_id)
-        return response
-
-    def _respond(self, request):
-        if request.headers.get('x-expect-instance', self.name) != self.name:
-            self.refused.add(request.request_id)
-            length = b'Content-Length: 0'
-            return workers.response_head(
-                request, b'X-Not-Executed: 1', length, status=421
-            )
-        if self.refuses_all and request.request_id:
-            self.refused.add(request.request_id)
-            return workers.not_executed_response(request)
-        if request.method == 'DELETE' or 'x-serving-stage' in request.headers:
-            handle = orjson.dumps({'handle': f'h{self.rng.random()}'})
-            return [0.02, workers.whole_response(request, handle)]
-        is_faulty = self.rng.random() < self.fault_share
-        fault = self.fault if is_faulty else 'fine'
-        if fault == 'full':
-            self.refused.add(request.request_id)
-            return workers.not_executed_response(request)
-        kind = kind_of(request.target)
-        self.checker.record_run(request.request_id, kind, self.name)
-        if fault in BREAKING_FAULTS:
-            self.checker.broken.add(request.request_id)
-        if fault == 'hang':
-            return [6.0, workers.CLOSE]
-        if kind in ('stream', 'once'):
-            return self._stream(request, fault)
-        return self._whole(request, fault)
-
-    def _whole(self, request, fault):
-        body = answer_body(request.request_id)
-        answer = workers.whole_response(request, body)
-        work_s = self.rng.uniform(0.005, 0.05)
-        if fault == 'silent':
-            work_s += self.rng.uniform(*SILENCE_RANGE_S)
-        if fault == 'cut':
-            return [
-                work_s,
-                answer[: -self.rng.randrange(1, 300)],
-                workers.CLOSE,
-            ]
-        if fault == 'foreign':
-            other = workers.whole_response(
-                request, b'another', request_id='other'
-            )
-            return [work_s, other, answer]
-        if fault == 'extra':
-            return [work_s, answer, workers.whole_response(request, b'again')]
-        return [work_s, answer]
-
-    def _stream(self, request, fault):
-        first = int(request.headers.get('last-event-id', 0)) + 1
-        parts = [workers.response_head(request, b'Transfer-Encoding: chunked')]
-        cut_at = self.rng.randrange(first, EVENTS + 2)
-        for number in range(first, EVENTS + 1):
-            piece = workers.event_chunks(number, number)
-            if fault in ('cut', 'extra') and number == cut_at:
-                return [*parts, piece[: len(piece) // 2], workers.CLOSE]
-            if fault == 'silent' and number == cut_at:
-                parts.append(self.rng.uniform(*SILENCE_RANGE_S))
-            parts += [self.rng.uniform(0.005, 0.03), piece]
-        return [*parts, b'0\r\n\r\n']
-
-
 class Caller:
     """Sends random kinds of requests over a persistent connection."""
 
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import pathlib
 import random
 import signal
 import tempfile
@@ -18,8 +19,9 @@
 from mangorock import client as clients
 from tests import arrivals
 from tests import fleet
-from tests import soak
+from tests import soak_backends
 from tests import soak_proxy
+from tests import soak_vms
 from tests import soak_world
 from tests import workers
 
@@ -50,14 +52,14 @@
             for number, (service, stage) in enumerate(stages)
         ]
         self.vms = [
-            soak.Vm(n, folder, soak_proxy.Proxy(('127.0.0.1', 0)))
+            soak_vms.Vm(n, folder, soak_proxy.Proxy(('127.0.0.1', 0)))
             for n in range(VMS)
         ]
         self.client = clients.Client()
         self.ids = itertools.count()
 
     def _make_server(self, name, service, stage):
-        server = soak_world.Server(
+        server = soak_backends.Server(
             name, service, self.checker, random.Random(name), stage
         )
         sound_run = server.script[0]
@@ -157,7 +159,7 @@
 
     async def main():
         with tempfile.TemporaryDirectory() as folder:
-            desk = Desk(soak.pathlib.Path(folder), rates, refusing, share)
+            desk = Desk(pathlib.Path(folder), rates, refusing, share)
             try:
                 await desk.start()
                 await desk.run(seconds)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,8 @@
 from tests import arrivals
 from tests import soak
 from tests import soak_audit
+from tests import soak_backends
+from tests import soak_vms
 from tests import soak_world
 from tests import workers
 
@@ -149,6 +151,44 @@
         self.assertEqual(2, len(audit_attempt(log=[unanswered])))
 
 
+def make_server():
+    """Return a backend server and a checker that records its runs."""
+    checker = soak_world.InvariantChecker()
+    rng = soak_world.make_rng(1, 'desk-1')
+    return soak_backends.Server('desk-1', 'desk', checker, rng), checker
+
+
+def make_request(request_id, connection, expected='desk-1'):
+    """Return a plain request that must run once."""
+    headers = {'x-request-id': request_id, 'x-expect-instance': expected}
+    return workers.ReceivedRequest('POST', '/place/', headers, b'', connection)
+
+
+class ServerTest(unittest.TestCase):
+    """The stand-in servers inject what they are told to."""
+
+    def test_refusal_is_written_again_on_its_connection(self):
+        server, checker = make_server()
+        server.refuses_all = True
+        with mock.patch.object(soak_backends, 'COPY_SHARE', 1.0):
+            (refusal,) = server._run(make_request('r1', 1))
+        server.refuses_all = False
+        self.assertNotIn(refusal, server._run(make_request('r2', 2)))
+        # The refused request is under way there again.
+        self.assertIn(refusal, server._run(make_request('r1', 1)))
+        self.assertNotIn(refusal, server._run(make_request('r3', 1)))
+        self.assertEqual(['desk-1'], checker.runs['r1'])
+
+    def test_replaced_server_refuses_what_names_the_old_one(self):
+        server, checker = make_server()
+        server.replace(is_renamed=True)
+        (answer,) = server._run(make_request('r1', 1))
+        self.assertTrue(answer.startswith(b'HTTP/1.1 421 '), answer)
+        self.assertFalse(checker.runs['r1'])
+        server._run(make_request('r1', 1, server.name))
+        self.assertEqual([server.name], checker.runs['r1'])
+
+
 class SoakTest(unittest.TestCase):
     """Real VMs under faults for some seconds."""
 
@@ -181,10 +221,10 @@
             self.checker.record_run(request.request_id, kind, self.name)
             return refuse(request)
 
-        original_run = soak_world.Server._run
+        original_run = soak_backends.Server._run
         with (
-            mock.patch.object(soak_world.Server, '_run', run_but_refuse),
-            mock.patch.object(soak, 'START_TIMEOUT_S', 10.0),
+            mock.patch.object(soak_backends.Server, '_run', run_but_refuse),
+            mock.patch.object(soak_vms, 'START_TIMEOUT_S', 10.0),
             mock.patch.object(soak, 'RECOVERY_TIMEOUT_S', 2.0),
         ):
             checker = soak.run_seed(seed=1, seconds=1.0, vms=1)
--- a/tests/test_unlimited_callers.py
+++ b/tests/test_unlimited_callers.py
@@ -21,7 +21,7 @@
 
 from tests import fleet
 from tests import process
-from tests import soak
+from tests import soak_vms
 from tests import soak_world
 from tests import workers
 
@@ -121,13 +121,13 @@
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_UNSENT_BYTES)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, MAX_UNSENT_BYTES)
-    sock.settimeout(soak.START_TIMEOUT_S)
+    sock.settimeout(soak_vms.START_TIMEOUT_S)
     sock.connect((host, int(port)))
     sock.setblocking(False)
     return sock
 
 
-class Vm(soak.Vm):
+class Vm(soak_vms.Vm):
     """A VM with the limits of a case."""
 
     max_fds = MANY_FDS
@@ -215,7 +215,7 @@
 
 async def ask_until_served(cluster):
     """Return the status of an ordinary request, the last one if not 200."""
-    end_s = soak_world.now() + soak.START_TIMEOUT_S
+    end_s = soak_world.now() + soak_vms.START_TIMEOUT_S
     status = 0
     while status != 200 and soak_world.now() < end_s:
         try:
@@ -363,7 +363,7 @@
 def exchange(vm, pieces, read_bytes, pause_s):
     """Send a request on a new connection; return the whole answer."""
     sock = connect(vm)
-    sock.settimeout(soak.START_TIMEOUT_S)
+    sock.settimeout(soak_vms.START_TIMEOUT_S)
     with sock:
         for piece in pieces:
             sock.sendall(piece)
