--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -14,11 +14,9 @@
 import curio.errors
 
 from mangorock import accounting
-from mangorock import admission
 from mangorock import delivery
 from mangorock import events
 from mangorock import limited
-from mangorock import logs
 from mangorock import messages
 from mangorock import metrics
 from mangorock import placement
@@ -26,6 +24,7 @@
 from mangorock import queueing
 from mangorock import refusals
 from mangorock import retries
+from mangorock import scheduled_prompt
 from mangorock import sending
 from mangorock import silence
 from mangorock import waiting
@@ -40,8 +39,7 @@
     """Serves one generation over all its attempts.
 
     ``gateway`` is the `gateway.Gateway`, ``context`` the
-    `context.RequestContext`.  ``is_notice_due`` is set while the shared
-    scheduler expects to hear what became of the prompt.
+    `context.RequestContext`, ``scheduled`` its prompt at the scheduler.
     """
 
     gateway: object
@@ -50,7 +48,12 @@
     relay: delivery.EventRelay
     prefill_attempts: int = 0
     pending_prompt: prefill.PendingPrompt | None = None
-    is_notice_due: bool = False
+    scheduled: scheduled_prompt.ScheduledPrompt = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.scheduled = scheduled_prompt.ScheduledPrompt(
+            self.gateway, self.context, self.service, self.relay
+        )
 
     async def run(self):
         """Serve the request; return the result for the log."""
@@ -63,7 +66,7 @@
             try:
                 outcome = await self._attempt(placed)
             finally:
-                self._notify_scheduler(messages.NOT_PREFILLED)
+                self.scheduled.notify(messages.NOT_PREFILLED)
                 await gateway.notify_first_waiter(context.service)
             await accounting.record_attempt(
                 gateway, context, placed.decode, outcome
@@ -95,9 +98,9 @@
                 context.service,
                 max(0, prompt.tokens - prompt.shared_tokens),
             )
-            and self._may_ask_scheduler()
+            and self.scheduled.may_be_placed()
         ):
-            placed = await self._ask_scheduler()
+            placed = await self.scheduled.place()
             if placed is not None:
                 return placed
         return await queueing.wait_for_placement(
@@ -120,133 +123,6 @@
             self.context.account_name,
         )
 
-    def _may_ask_scheduler(self):
-        """Say whether an engine that decodes is left to the scheduler.
-
-        It does not know the slots of this VM under the limits of engines.
-        """
-        avoided = self.gateway.limited_ids(self.context)
-        return not avoided or any(
-            not server.is_prefill_only and server.server_id not in avoided
-            for server in self.gateway.untried_servers(self.context)
-        )
-
-    async def _ask_scheduler(self):
-        """Return the placement that the shared scheduler chose.
-
-        Returns None if no scheduler answers or its choice is not usable
-        here.  Raises `errors.Overloaded` if no engine can answer in time.
-        """
-        gateway, context = self.gateway, self.context
-        try:
-            self._make_request()
-        except ValueError as exc:
-            # The caller's headers describe a prompt that no engine can take.
-            logs.event(
-                'prompt_not_schedulable',
-                request=context.request.request_id,
-                error=exc,
-            )
-            return None
-        match await gateway.ask_scheduler(self._make_request):
-            case messages.Assignment() as assignment:
-                self.is_notice_due = True
-                return self._resolve_assignment(assignment)
-            case messages.Rejection(retry_after_s):
-                if self.relay.reply.is_started or context.may_have_run:
-                    return None
-                raise refusals.no_answer_in_time(
-                    context, gateway.spread(retry_after_s)
-                )
-        return None
-
-    def _make_request(self):
-        """Return the `messages.PlacementRequest` as of now.
-
-        A stream that is resumed comes first: its caller waits for the next
-        event.
-        """
-        context, prompt = self.context, self.context.request.prompt
-        admission.check_sendable(self.gateway, context)
-        route, now = context.route, time.monotonic()
-        priority = context.priority
-        target_at_s = context.request.received_s + route.target_s
-        if self.relay.reply.is_started:
-            priority = messages.RESUMED_PRIORITY
-            target_at_s = now + route.max_gap_s
-        shared_tokens = min(prompt.shared_tokens, prompt.tokens)
-        return messages.PlacementRequest(
-            service=context.service,
-            request_id=context.request.request_id,
-            document=prompt.shared_part_id,
-            shared_tokens=shared_tokens,
-            own_tokens=prompt.tokens - shared_tokens,
-            max_gap_s=route.max_gap_s,
-            target_s=route.target_s,
-            target_left_s=target_at_s - now,
-            left_s=self._first_event_left_s(),
-            priority=priority,
-            end_left_s=context.left_s,
-            output_events=prompt.expected_output_tokens
-            / self.service.engine.event_tokens,
-            tried=[server_id for server_id, _ in context.tried],
-            account=context.account_name,
-            avoided=self.gateway.limited_ids(context),
-        )
-
-    def _resolve_assignment(self, assignment):
-        """Return the placement of an assignment, None if it is not usable.
-
-        The scheduler's register may be older than this VM's and name
-        servers that this VM no longer uses.
-        """
-        gateway, context = self.gateway, self.context
-        untried = gateway.untried_servers(context)
-        known = {server.server_id: server for server in untried}
-        usable = {s.server_id: s for s in gateway.eligible_servers(context)}
-        decode = usable.get(assignment.decode)
-        prefill = usable.get(assignment.prefill)
-        accounting.log_assignment(context, assignment)
-        if decode is None or (assignment.prefill and prefill is None):
-            self._notify_scheduler(messages.NOT_PREFILLED)
-            return None
-        return placement.Placement(
-            decode,
-            prefill,
-            assignment.tokens,
-            known.get(assignment.fetch_from),
-            assignment.cost_s,
-        )
-
-    def _notify_scheduler(self, seconds, decode='', load=None, failed=''):
-        """Report to the scheduler what became of the prompt.
-
-        A prompt may be reported as processed first and with the load of
-        its decode engine later; after a report with a load or of a prompt
-        that was not processed no other one follows.
-        """
-        if not self.is_notice_due:
-            return
-        self.is_notice_due = bool(
-            load is None and seconds != messages.NOT_PREFILLED
-        )
-        context = self.context
-        outcome = messages.Outcome(
-            context.service,
-            context.request.request_id,
-            seconds,
-            failed,
-            decode,
-        )
-        if load is not None:
-            outcome = attrs.evolve(
-                outcome,
-                running=load.running,
-                waiting=load.waiting,
-                slots=load.slots,
-            )
-        self.gateway.scheduler_endpoint.report_outcome(outcome)
-
     def _place_locally(self):
         gateway, context = self.gateway, self.context
         servers = gateway.eligible_servers(context)
@@ -279,7 +155,10 @@
         reader = placed.prefill or placed.decode
         model = self.gateway.placer.model
         needed_s = DECODE_RESERVE_S + model.seconds(reader, placed.tokens)
-        if self._first_event_left_s() <= needed_s:
+        if (
+            scheduled_prompt.first_event_left_s(self.context, self.relay)
+            <= needed_s
+        ):
             return None
         if placed.prefill is None:
             return placed
@@ -303,7 +182,7 @@
         """
         if self.relay.reply.is_started or not self.context.is_prefill_left:
             return attrs.evolve(placed, prefill=None)
-        self._notify_scheduler(messages.NOT_PREFILLED)
+        self.scheduled.notify(messages.NOT_PREFILLED)
         raise refusals.backend_refused(
             self.context,
             self.gateway.retry_after_s(self.context.service),
@@ -344,9 +223,12 @@
                 self.context.prompt_read_at_s = time.monotonic()
                 if handle is None:
                     return sending.Unsent('no engine processed the prompt')
-                self._notify_scheduler(self.pending_prompt.complete())
+                self.scheduled.notify(self.pending_prompt.complete())
             self.relay.switch_server(
-                placer, placed.decode, self._on_first_event, self._report_pace
+                placer,
+                placed.decode,
+                self._on_first_event,
+                self.scheduled.report_pace,
             )
             try:
                 outcome = await self._decode(placed, handle, has_slot)
@@ -361,24 +243,11 @@
                     self.gateway.sender.free_handle, handle, daemon=True
                 )
 
-    def _report_pace(self, server, event_count, seconds):
-        """Tell the scheduler how fast events of a stream came."""
-        endpoint = self.gateway.scheduler_endpoint
-        if endpoint is not None and event_count > 1:
-            endpoint.report_pace(
-                messages.StreamPace(
-                    self.context.service,
-                    server.server_id,
-                    event_count,
-                    seconds,
-                )
-            )
-
     def _on_first_event(self, answer):
         """Record that the prompt is processed; report the engine load."""
         self.gateway.count_start(self.context)
         seconds = self.pending_prompt.complete()
-        self._notify_scheduler(
+        self.scheduled.notify(
             seconds, self.relay.server.server_id, answer.load
         )
 
@@ -407,7 +276,10 @@
             is_prefill=True,
             fetch_from=self._source_address(affinity_server),
         )
-        wait_s = self._first_event_left_s() - DECODE_RESERVE_S
+        wait_s = (
+            scheduled_prompt.first_event_left_s(self.context, self.relay)
+            - DECODE_RESERVE_S
+        )
         if self.relay.reply.is_started:
             wait_s = context.left_s
         if wait_s <= 0:
@@ -422,7 +294,7 @@
                 )
         except curio.errors.TaskTimeout:
             gateway.sender.record_failure(server)
-            self._notify_scheduler(
+            self.scheduled.notify(
                 messages.NOT_PREFILLED, failed=server.server_id
             )
             raise refusals.no_answer_in_time(
@@ -440,7 +312,7 @@
         context.tried.add(server.incarnation)
         await accounting.record_attempt(gateway, context, server, outcome)
         if not isinstance(outcome, (sending.Refused, sending.Unsent)):
-            self._notify_scheduler(
+            self.scheduled.notify(
                 messages.NOT_PREFILLED, failed=server.server_id
             )
         return None
@@ -486,27 +358,16 @@
         )
         context.record_outcome(outcome, may_have_run_before)
         if isinstance(outcome, (sending.Broken, sending.Unreachable)):
-            self._notify_scheduler(
+            self.scheduled.notify(
                 messages.NOT_PREFILLED, failed=server.server_id
             )
         if isinstance(outcome, sending.Refused) and handle is not None:
             # The engine that kept the KV cache may have lost it.
-            self._notify_scheduler(
+            self.scheduled.notify(
                 messages.NOT_PREFILLED, failed=placed.prefill.server_id
             )
         return outcome
 
-    def _first_event_left_s(self):
-        """Return how long the caller still waits for the first event."""
-        caller_read_timeout_s = self.context.route.caller_read_timeout_s
-        if caller_read_timeout_s is None:
-            return self.context.left_s
-        waiting_since_s = self.context.request.received_s
-        if self.relay.reply.is_started:
-            waiting_since_s = self.relay.delivered_at_s
-        waited_s = time.monotonic() - waiting_since_s
-        return min(self.context.left_s, caller_read_timeout_s - waited_s)
-
 
 async def serve(gateway, context, service):
     """Serve a stream; return the result for the log."""
