--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -48,6 +48,8 @@
 # Interval at which waiting prompts are assigned, which bounds the cost of many
 # outcomes in a short time.
 WAITING_INTERVAL_S = 0.006
+# Fields that a message has only if they are not empty.
+NEWER_FIELDS = 'account', 'avoided'
 MESSAGES = {kind.__name__: kind for kind in messages.KINDS}
 
 
@@ -64,9 +66,10 @@
 def encode(number, message):
     """Return the datagram for a message."""
     fields = attrs.asdict(message)
-    if not fields.get('account', True):
-        # A VM of an earlier build does not know this field.
-        del fields['account']
+    for name in NEWER_FIELDS:
+        if not fields.get(name, True):
+            # A VM of an earlier build does not know this field.
+            del fields[name]
     return orjson.dumps([type(message).__name__, number, fields])
 
 
@@ -176,8 +179,9 @@
     engine.  ``servers(service)`` returns the servers that may be used, and
     ``pause(server_id, seconds)`` stops the use of one.
     ``on_stage_request(service, server_id, stage)``, the coroutine
-    ``on_part_message(message)`` and ``on_duty_message(message)``, which
-    returns an answer or None, are set after construction.
+    ``on_part_message(message)``, ``on_server_limit(message)`` and
+    ``on_duty_message(message)``, which returns an answer or None, are set
+    after construction.
     """
 
     def __init__(self, directory, schedulers, servers, pause):
@@ -188,6 +192,7 @@
         self.on_stage_request = None
         self.on_part_message = None
         self.on_duty_message = None
+        self.on_server_limit = None
         self.request_numbers = itertools.count(1)
         self.pending_replies = {}
         self.waiting_services = set()
@@ -371,6 +376,8 @@
                 | messages.PartQuarantined()
             ):
                 await self.on_part_message(message)
+            case messages.ServerLimit():
+                self.on_server_limit(message)
             case (
                 messages.DemandSample()
                 | messages.DemandTaken()
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -17,6 +17,7 @@
 from mangorock import admission
 from mangorock import delivery
 from mangorock import events
+from mangorock import limited
 from mangorock import logs
 from mangorock import messages
 from mangorock import metrics
@@ -87,10 +88,14 @@
         """
         context, prompt = self.context, self.context.request.prompt
         is_generation = self.service.engine is not None and prompt is not None
-        if is_generation and self.gateway.placer.is_long(
-            context.route,
-            context.service,
-            max(0, prompt.tokens - prompt.shared_tokens),
+        if (
+            is_generation
+            and self.gateway.placer.is_long(
+                context.route,
+                context.service,
+                max(0, prompt.tokens - prompt.shared_tokens),
+            )
+            and self._may_ask_scheduler()
         ):
             placed = await self._ask_scheduler()
             if placed is not None:
@@ -115,6 +120,17 @@
             self.context.account_name,
         )
 
+    def _may_ask_scheduler(self):
+        """Say whether an engine that decodes is left to the scheduler.
+
+        It does not know the slots of this VM under the limits of engines.
+        """
+        avoided = self.gateway.limited_ids(self.context)
+        return not avoided or any(
+            not server.is_prefill_only and server.server_id not in avoided
+            for server in self.gateway.untried_servers(self.context)
+        )
+
     async def _ask_scheduler(self):
         """Return the placement that the shared scheduler chose.
 
@@ -175,6 +191,7 @@
             / self.service.engine.event_tokens,
             tried=[server_id for server_id, _ in context.tried],
             account=context.account_name,
+            avoided=self.gateway.limited_ids(context),
         )
 
     def _resolve_assignment(self, assignment):
@@ -184,6 +201,8 @@
         servers that this VM no longer uses.
         """
         gateway, context = self.gateway, self.context
+        untried = gateway.untried_servers(context)
+        known = {server.server_id: server for server in untried}
         usable = {s.server_id: s for s in gateway.eligible_servers(context)}
         decode = usable.get(assignment.decode)
         prefill = usable.get(assignment.prefill)
@@ -195,7 +214,7 @@
             decode,
             prefill,
             assignment.tokens,
-            usable.get(assignment.fetch_from),
+            known.get(assignment.fetch_from),
             assignment.cost_s,
         )
 
@@ -232,9 +251,7 @@
         gateway, context = self.gateway, self.context
         servers = gateway.eligible_servers(context)
         if not servers and not self.relay.reply.is_started:
-            raise refusals.no_backend(
-                context, gateway.retry_after_s(context.service)
-            )
+            limited.check_any(gateway, context, self._wait().until_s)
         return self._place_on(servers)
 
     def _place_on(self, servers):
@@ -298,6 +315,7 @@
             route.max_gap_s,
             route.target_s,
             self.service.engine.slots if self.service.engine else 1,
+            tuple(self.gateway.untried_servers(self.context)),
         )
 
     def _is_final(self, answer):
@@ -313,9 +331,14 @@
         self.pending_prompt = prefill.PendingPrompt(
             placer, reader, placed.tokens, placed.cost_s
         )
-        is_handle_used = False
+        is_handle_used = has_slot = False
         try:
             if placed.prefill is not None:
+                # Later the engine might take no request of this VM.
+                rates = self.gateway.registry.rates
+                has_slot = rates.take(placed.decode, time.time())
+                if not has_slot:
+                    return sending.Unsent(sending.AT_LIMIT)
                 handle = await self._prefill(placed)
                 self.context.prompt_read_at_s = time.monotonic()
                 if handle is None:
@@ -325,7 +348,7 @@
                 placer, placed.decode, self._on_first_event, self._report_pace
             )
             try:
-                outcome = await self._decode(placed, handle)
+                outcome = await self._decode(placed, handle, has_slot)
             finally:
                 self.relay.report_pace()
             is_handle_used = isinstance(outcome, sending.Streamed)
@@ -427,7 +450,7 @@
             return ''
         return server.address
 
-    async def _decode(self, placed, handle):
+    async def _decode(self, placed, handle, has_slot):
         gateway, context = self.gateway, self.context
         server, affinity_server = placed.decode, placed.affinity_server
         is_cached_elsewhere = handle is None and affinity_server not in (
@@ -440,6 +463,7 @@
             context,
             server,
             handle=handle,
+            has_slot=has_slot,
             fetch_from=self._source_address(affinity_server)
             if is_cached_elsewhere
             else '',
--- a/src/mangorock/placement.py
+++ b/src/mangorock/placement.py
@@ -69,13 +69,15 @@
     """What a generation requires of an engine with ``slots`` slots.
 
     ``target_s`` is the time until its first event is late, ``max_gap_s`` the
-    longest pause between its events.
+    longest pause between its events.  ``sources`` are the servers that a
+    cached prefix may be fetched from, also those that take no requests now.
     """
 
     prompt: object
     max_gap_s: float
     target_s: float
     slots: int
+    sources: tuple = ()
 
 
 @attrs.frozen
@@ -227,7 +229,10 @@
         """
         decode_engines = [s for s in servers if not s.is_prefill_only]
         prefill_engines = [s for s in servers if s.is_prefill_only]
-        affinity_server = self._affinity_server(demand.prompt, decode_engines)
+        sources = [s for s in demand.sources if not s.is_prefill_only]
+        affinity_server = self._affinity_server(
+            demand.prompt, sources or decode_engines
+        )
         tokens = demand.prompt.tokens
         if affinity_server is not None:
             # Assume that some engine has a shared part this long cached.
