Let servers of the soak name limits on requests

Cause: no server of the soak named a limit, so nothing in it could break rule LIMIT. The check counts what the rule does: from 3 s after the first such answer, in any 4 s, requests of VMs that passed one on half a second before. A VM that is stopped, restarted or paused is excused until it has passed on another, and the time of a network fault at the server is left out. Off by default.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,6 +24,7 @@
 from tests import soak_audit
 from tests import soak_backends
 from tests import soak_callers
+from tests import soak_limits
 from tests import soak_plans
 from tests import soak_proxy
 from tests import soak_replacements
@@ -58,7 +59,7 @@
 class Soak:
     """One seed: the fleet, the faults and the check of the recovery."""
 
-    def __init__(self, seed, vms, folder):
+    def __init__(self, seed, vms, folder, has_limits=False):
         self.seed = seed
         self.rng = soak_world.make_rng(seed, 'harm')
         self.checker = soak_world.InvariantChecker()
@@ -82,9 +83,13 @@
             vm.log_path.unlink(missing_ok=True)
         self.client = clients.Client()
         self.tasks = []
+        self.has_limits = has_limits
         self.replacements = soak_replacements.Replacements(
             self, soak_world.make_rng(seed, 'replace')
         )
+        self.limits = soak_limits.Limits(
+            self, soak_world.make_rng(seed, 'limit')
+        )
 
     async def start(self):
         """Start the stand-ins and then the VMs."""
@@ -141,6 +146,8 @@
             refuse = soak_backends.refuse_services
             await self.spawn(refuse, self.servers, rng, end_s)
             await self.spawn(self.replacements.run, end_s)
+            if self.has_limits:
+                await self.spawn(self.limits.run, end_s)
             while soak_world.now() < end_s:
                 action = self.rng.choice(ACTIONS)
                 await self.spawn(getattr(self, f'_{action}'))
@@ -151,6 +158,7 @@
             await self.close()
         self._audit()
         self.checker.check_arrivals()
+        self.limits.check(self.checker)
         return self.checker.violations
 
     def _check_processes(self):
@@ -188,6 +196,7 @@
             proxy.mode = 'fine'
         for server in self.servers:
             server.fault, server.refuses_all = 'fine', False
+            server.spell = None
         for vm in self.vms:
             served = False
             try:
@@ -333,11 +342,11 @@
             await curio.sleep(self.rng.choice((0.0, 0.02, 0.3)))
 
 
-def run_seed(seed, seconds, vms=3, folder=None):
+def run_seed(seed, seconds, vms=3, folder=None, has_limits=False):
     """Run one seed and return its `soak_world.InvariantChecker`."""
     with tempfile.TemporaryDirectory() as temporary:
         path = pathlib.Path(folder or temporary, f'{seed}')
-        soak = Soak(seed, vms, path)
+        soak = Soak(seed, vms, path, has_limits)
         curio.run(soak.run, seconds)
     return soak.checker
 
@@ -349,11 +358,16 @@
     parser.add_argument('--count', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=20.0)
     parser.add_argument('--vms', type=int, default=3)
+    parser.add_argument(
+        '--limits', action='store_true', help='servers name limits at times'
+    )
     parser.add_argument('--logs', help="directory for the VMs' logs")
     args = parser.parse_args()
     has_violations = False
     for seed in range(args.seed, args.seed + args.count):
-        checker = run_seed(seed, args.seconds, args.vms, args.logs)
+        checker = run_seed(
+            seed, args.seconds, args.vms, args.logs, args.limits
+        )
         served = sum(
             count for key, count in checker.counts.items() if key[1] == 200
         )
@@ -366,7 +380,9 @@
         print(
             f'seed {seed}: {served} of {total} answers are a success; '
             f'excused {excused}; copies of refusals '
-            f'{checker.counts["copies", "sent"]}',
+            f'{checker.counts["copies", "sent"]}, limits '
+            f'{checker.counts["limit", "spells"]}, of them tested '
+            f'{checker.counts["limit", "counted"]}',
             flush=True,
         )
         for line in checker.violations[:10]:
--- a/tests/soak_backends.py
+++ b/tests/soak_backends.py
@@ -1,6 +1,7 @@
 """The backend servers of the soak test."""
 
 import random
+import re
 
 import curio
 import orjson
@@ -22,6 +23,9 @@
 COPY_SHARE = 0.5
 COPY_PAUSES_S = (0.0, 0.0, 0.05)
 REFUSAL_STATUSES = (429, 503)
+# The first line of an answer that may name a limit.  That of a server that
+# was not meant does not.
+LIMITED_HEAD = re.compile(rb'HTTP/1\.1 (?!421)')
 
 
 def refusal(request, status):
@@ -35,7 +39,8 @@
     """A backend server that records executions and injects faults.
 
     ``place`` is its name until it is replaced.  ``copies`` has the refusals
-    to be written again, by connection.
+    to be written again, by connection; ``spell`` is the `soak_limits.Spell`
+    while it names a limit.
     """
 
     def __init__(self, name, service, checker, rng, stage=None):
@@ -45,7 +50,7 @@
         self.copy_rng = random.Random(rng.random())
         self.fault, self.fault_share = 'fine', 0.3
         self.refuses_all, self.refused = False, set()
-        self.copies = {}
+        self.copies, self.spell = {}, None
 
     def proxied_entry(self, port, state='ready', sequence=1):
         """Return the server's store entry with the address of its proxy."""
@@ -56,6 +61,7 @@
     def replace(self, is_renamed):
         """Go on as another server, with another id or only a later start."""
         self.born += 1
+        self.spell = None
         if is_renamed:
             self.replacements += 1
             self.name = f'{self.place}.{self.replacements}'
@@ -65,11 +71,15 @@
         parts = [response] if isinstance(response, bytes) else response
         # Reports, and handles that are freed, have no id.
         if request.request_id:
+            now = soak_world.now()
             is_accepted = request.request_id not in self.refused
             self.checker.arrivals.record_arrival(
-                request, self.service, is_accepted, soak_world.now()
+                request, self.service, is_accepted, now
             )
             self.refused.discard(request.request_id)
+            if self.spell is not None:
+                self.spell.arrivals.append((now, request.request_id))
+                parts = self._name_limit(parts, now)
             copy = self.copies.pop(request.connection, None)
             if not is_accepted and self.copy_rng.random() < COPY_SHARE:
                 self.copies[request.connection] = parts[0]
@@ -79,6 +89,21 @@
                 parts = [before_s, copy, after_s, *parts]
         return parts
 
+    def _name_limit(self, parts, now):
+        """Add the limit to the heads of the parts."""
+        if self.spell.named_s is None:
+            self.spell.named_s = now
+        line = b'\r\nServer-Limit: %.1f\r\nX-Limit-Label: %s\r\n' % (
+            self.spell.per_s,
+            self.spell.label.encode(),
+        )
+        return [
+            part.replace(b'\r\n', line, 1)
+            if isinstance(part, bytes) and LIMITED_HEAD.match(part)
+            else part
+            for part in parts
+        ]
+
     def _respond(self, request):
         if request.headers.get('x-expect-instance', self.name) != self.name:
             self.refused.add(request.request_id)
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -33,7 +33,8 @@
     ``manner`` is ``stay``, ``leave`` or ``half_close``.  ``idle_s`` is how
     long the connection had been idle, 0 for a new one.  ``progress`` tells
     how much of the answer the caller read (``none``, ``part``, ``whole``) and
-    ``error`` why it read no more.
+    ``error`` why it read no more.  ``limit_label`` names the limit that the
+    head of the answer named, which came at ``head_s``.
     """
 
     request_id: str
@@ -45,6 +46,8 @@
     ended_s: float = 0.0
     progress: str = 'none'
     error: str = ''
+    head_s: float = 0.0
+    limit_label: str = ''
 
 
 @attrs.define
@@ -199,7 +202,8 @@
         ]
         try:
             await exchange.send('POST', path, headers, b'order')
-            attempt.progress = 'part'
+            attempt.progress, attempt.head_s = 'part', now()
+            attempt.limit_label = exchange.headers.get('x-limit-label', '')
             body = await exchange.read()
             attempt.progress = 'whole'
         except BaseException as exc:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 from tests import soak
 from tests import soak_audit
 from tests import soak_backends
+from tests import soak_limits
 from tests import soak_vms
 from tests import soak_world
 from tests import workers
@@ -188,6 +189,65 @@
         server._run(make_request('r1', 1, server.name))
         self.assertEqual([server.name], checker.runs['r1'])
 
+    def test_limit_is_named_until_the_server_is_replaced(self):
+        server, _ = make_server()
+        server.spell = spell = soak_limits.Spell('s', 'desk-1', 2.5)
+        for request_id in ('r1', 'r2'):
+            _, answer = server._run(make_request(request_id, 1))
+            self.assertIn(b'\r\nServer-Limit: 2.5\r\n', answer)
+            server.replace(is_renamed=False)
+            if request_id == 'r1':
+                server.spell = spell
+        _, answer = server._run(make_request('r3', 1))
+        self.assertNotIn(b'Server-Limit', answer)
+        self.assertEqual(['r1', 'r2'], [r for _, r in spell.arrivals])
+
+
+def worst_of_limit(*moments_s, history=(), faults=(), passed_s=100.0):
+    """Return the worst window of a limit that was first named at 100 s."""
+    vm = types.SimpleNamespace(
+        number=0, history=[('start', 0.0), *map(tuple, history)]
+    )
+    attempts = {'r1': soak_world.Attempt('r1', 'safe', vm)}
+    arrivals = [(moment_s, 'r1') for moment_s in moments_s]
+    spell = soak_limits.Spell(
+        's', 'desk-1', 2.0, 100.0, arrivals, [(passed_s, 0)]
+    )
+    return spell.worst(attempts, faults)
+
+
+class LimitTest(unittest.TestCase):
+    """The check of limits counts what the rule counts."""
+
+    def test_window_with_the_most_requests(self):
+        times_s = 102.9, 103.0, 105.0, 106.9, 107.1, 111.2
+        self.assertEqual(3, worst_of_limit(*times_s))
+        spell = soak_limits.Spell('s', 'desk-1', 2.0)
+        self.assertEqual(17, spell.allowed)
+
+    def test_vms_that_are_excused(self):
+        for changes in (
+            {'passed_s': 104.6},
+            {'history': [('term', 103.0), ('start', 104.0)]},
+            {'history': [('pause', 103.0), ('resume', 104.0)]},
+            {'history': [('term', 104.9)]},
+            {'faults': [('desk-1', 103.0, 104.5)]},
+        ):
+            self.assertEqual(0, worst_of_limit(105.0, **changes), changes)
+
+    def test_vms_that_are_not_excused(self):
+        for changes in (
+            {'passed_s': 104.5},
+            {'history': [('pause', 98.0), ('resume', 99.0)]},
+            {
+                'history': [('pause', 103.0), ('resume', 104.0)],
+                'passed_s': 104.4,
+            },
+            {'history': [('term', 105.1)]},
+            {'faults': [('desk-1', 103.0, 103.9), ('desk-2', 104.0, 106.0)]},
+        ):
+            self.assertEqual(1, worst_of_limit(105.0, **changes), changes)
+
 
 class SoakTest(unittest.TestCase):
     """Real VMs under faults for some seconds."""
