Share a limit before the names of the VMs are known

Cause: a VM that had not read the list of VMs took itself for the only one, and with it the whole limit; eight such VMs send eight times as much. Change: until then as many VMs are assumed as for other limits; the slots of unknown ones stay unused.

--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -90,6 +90,7 @@
         self.shutdown = shutdown.Shutdown(self.ingress, self.gateway)
         self.gateway.keys.bound_s = settings.revocation_s
         self.gateway.registry.rates.vm = settings.vm
+        self.gateway.registry.rates.vm_count = self.gateway.placer.vm_count
         self.is_stopping = False
         self.was_ready = False
         self.store = None
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -105,6 +105,7 @@
     def set_vm_count(self, vm_count):
         """Divide server capacity and retry slack among the entry VMs."""
         self.placer.vm_count = vm_count
+        self.registry.rates.vm_count = vm_count
         self.budgets.share.on_count(vm_count, time.monotonic())
 
     async def handle(self, raw, reply):
--- a/src/mangorock/rate_limits.py
+++ b/src/mangorock/rate_limits.py
@@ -112,11 +112,13 @@
 class RateLimits:
     """The limits of all servers, and this VM's slots.
 
-    ``vms`` has the names of all VMs, that of this one included.  ``owners``
+    ``vms`` has the names of all VMs, that of this one included, and is empty
+    until they are known; ``vm_count`` of them are assumed then.  ``owners``
     caches the VMs that have the slots of a server in a turn.
     """
 
     vm: str = ''
+    vm_count: int = 1
     vms: tuple = ()
     limits: dict = attrs.field(factory=dict)
     owners: dict = attrs.field(factory=dict)
@@ -224,12 +226,19 @@
             slot = max(slot, known.taken[1] + len(owners))
         return slot if slot <= newest else None
 
+    def _names(self):
+        """Return the names of all VMs, made-up ones for unknown VMs."""
+        if self.vms:
+            return self.vms
+        return self.vm, *range(1, self.vm_count)
+
     def _owners(self, server, known, turn):
-        count = known.sharers(len(self.vms))
+        names = self._names()
+        count = known.sharers(len(names))
         cached = self.owners.get(_key(server))
         if cached is None or cached[:2] != (turn, count):
             name = f'{server.server_id}/{server.started_ms}/{turn}'
-            owners = membership.rank(name, self.vms or (self.vm,))[:count]
+            owners = membership.rank(name, names)[:count]
             cached = self.owners[_key(server)] = turn, count, owners
         return cached[2]
 
@@ -252,7 +261,8 @@
                 slot += len(owners)
             if slot / per_s < known.turn_s:
                 return begin_s + slot / per_s - unix_s
-        return len(self.vms) / known.sharers(len(self.vms)) * known.turn_s
+        vm_count = len(self._names())
+        return vm_count / known.sharers(vm_count) * known.turn_s
 
     def queue_wait_s(self, servers, ahead, unix_s):
         """Return the time until a request may be sent to one of ``servers``.
@@ -268,7 +278,7 @@
                 return 0.0
             first_s = min(first_s, self.wait_s(server, unix_s))
             owners = self._owners(server, known, known.turn(unix_s))
-            sharers = len(owners) if self.vm in owners else len(self.vms)
+            sharers = len(owners) if self.vm in owners else len(self._names())
             share_per_s += known.used_per_s / max(1, sharers)
         return first_s + ahead / share_per_s
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -93,6 +93,13 @@
             with self.subTest(count=count, per_s=per_s):
                 self._check(count, per_s, 0.6, missing=max(1, count // 20))
 
+    def test_vms_that_know_no_names_do_not_each_take_all(self):
+        fleet = make_fleet(8, 7.2, random.Random(3))
+        for vm in fleet.vms:
+            vm.vms, vm.vm_count = (), 8
+        allowed = FACTOR * 7.2 * WINDOW_S + SLACK
+        self.assertLessEqual(most_in_window(fleet.run(RUN_S)), allowed)
+
     def test_each_vm_has_its_turn(self):
         fleet = make_fleet(8, 1.5, random.Random(1))
         for vm in fleet.vms:
