Log who refuses a prompt, and the sizes of prompts

Cause: request_done and prompt_assigned told no size of a refused prompt, and nothing told which of four checks of the scheduler refused it, so that the logs could not tell whether large prompts are shut out and by whom. Change: the backlog notes each refusal with its cause and the times that led to it, and the scheduler's VM logs them as prompt_refused; request_done has the tokens of the prompt. Placement is unchanged.

--- a/src/mangorock/accounting.py
+++ b/src/mangorock/accounting.py
@@ -68,6 +68,7 @@
         'answer': end.reply.progress.value,
         'seconds': seconds,
         **_describe_service(end.context),
+        **_describe_prompt(end.request),
         'config': gateway.catalog.version,
         'register_age_s': time.monotonic() - gateway.registry.last_contact_s,
     }
@@ -135,6 +136,17 @@
     }
 
 
+def _describe_prompt(request):
+    if request is None or request.prompt is None:
+        return {}
+    prompt = request.prompt
+    return {
+        'prompt_tokens': prompt.tokens,
+        'shared_tokens': prompt.shared_tokens,
+        'max_output_tokens': prompt.max_output_tokens,
+    }
+
+
 async def record_attempt(gateway, context, server, outcome):
     """Log an attempt that ended without an answer; note it as evidence.
 
@@ -172,6 +184,12 @@
     )
 
 
+def log_refusals(service, backlog):
+    """Log the prompts of other VMs too that a `backlog.Backlog` refused."""
+    for refusal in backlog.take_refusals():
+        logs.event('prompt_refused', service=service, **attrs.asdict(refusal))
+
+
 def log_shares(service, place, shares):
     """Log how accounts were served by one `fairness.Shares`.
 
--- a/src/mangorock/backlog.py
+++ b/src/mangorock/backlog.py
@@ -14,6 +14,8 @@
   places of one priority, and those of late prompts, among the accounts.
 """
 
+import enum
+
 import attrs
 
 from mangorock import fairness
@@ -24,6 +26,41 @@
 # A waiting prompt is refused if its wait is predicted to be this many times
 # longer than its caller's, since a prediction may be wrong.
 LOST_WAIT_FACTOR = 1.5
+# Refusals that are kept until they are logged.
+MAX_REFUSALS = 1000
+
+
+class Cause(enum.Enum):
+    """Why a prompt is refused.
+
+    ``HOPELESS`` is one whose turn was predicted too late at its arrival and
+    ``OUTRUN`` while it waited; ``LOST`` cannot be answered any more, and
+    ``DISPLACED`` had its place in the queue taken by another.
+    """
+
+    HOPELESS = 'hopeless'
+    OUTRUN = 'outrun'
+    LOST = 'lost'
+    DISPLACED = 'displaced'
+
+
+@attrs.frozen
+class Refusal:
+    """A prompt that was refused, with what was expected of it.
+
+    ``left_s`` is the time until its caller gives up and ``target_left_s``
+    that until its target; ``waiting`` is the number of prompts that wait.
+    """
+
+    request_id: str
+    cause: str
+    shared_tokens: int
+    own_tokens: int
+    shortest_s: float
+    cost_s: float
+    target_left_s: float
+    left_s: float
+    waiting: int
 
 
 @attrs.define(eq=False)
@@ -60,9 +97,13 @@
 
 @attrs.define
 class Backlog:
-    """The waiting prompts of one service, by request id."""
+    """The waiting prompts of one service, by request id.
+
+    ``refusals`` are those that were not logged yet.
+    """
 
     prompts: dict = attrs.field(factory=dict)
+    refusals: list = attrs.field(factory=list)
     turn: int = 0
     shares: fairness.Shares = attrs.field(factory=fairness.Shares)
 
@@ -97,8 +138,32 @@
         lost = [p for p in self.prompts.values() if p.is_lost(now)]
         for prompt in lost:
             self.remove(prompt.request.request_id, False)
+            self.note_refusal(prompt, Cause.LOST, now)
         return lost
 
+    def note_refusal(self, prompt, cause, now):
+        """Keep a refusal for the log."""
+        if len(self.refusals) >= MAX_REFUSALS:
+            return
+        request = prompt.request
+        refusal = Refusal(
+            request.request_id,
+            cause.value,
+            request.shared_tokens,
+            request.own_tokens,
+            prompt.shortest_s,
+            prompt.cost_s,
+            prompt.target_at_s - now,
+            prompt.gives_up_at_s - now,
+            len(self.prompts),
+        )
+        self.refusals.append(refusal)
+
+    def take_refusals(self):
+        """Return the refusals since the last call."""
+        taken, self.refusals = self.refusals, []
+        return taken
+
     def take_outrun(self, ordered, engine_count, now):
         """Remove and return the prompts whose turn will come too late.
 
@@ -110,6 +175,7 @@
             start_s = now + before_s / engine_count / LOST_WAIT_FACTOR
             if prompt.request.account and prompt.is_lost(start_s):
                 self.remove(prompt.request.request_id, False)
+                self.note_refusal(prompt, Cause.OUTRUN, now)
                 outrun.append(prompt)
             else:
                 before_s += prompt.cost_s
@@ -121,6 +187,7 @@
         displaced = self.shares.displaced(ordered, newcomer)
         if displaced is not None:
             self.remove(displaced.request.request_id, False)
+            self.note_refusal(displaced, Cause.DISPLACED, now)
         return displaced
 
     def ordered(self, now):
--- a/src/mangorock/consultation.py
+++ b/src/mangorock/consultation.py
@@ -24,6 +24,7 @@
 import curio.io
 import orjson
 
+from mangorock import accounting
 from mangorock import address as addresses
 from mangorock import logs
 from mangorock import membership
@@ -408,6 +409,7 @@
         if isinstance(answer, messages.Queued):
             self.waiting_services.add(request.service)
             await self.has_waiting.set()
+        accounting.log_refusals(request.service, found.backlog)
         await self._deliver(others)
         return answer
 
@@ -416,9 +418,9 @@
         found = self.schedulers(service)
         if found is not None and found.backlog.prompts:
             servers = self.servers(service)
-            await self._deliver(
-                found.assign_waiting(servers, time.monotonic())
-            )
+            answers = found.assign_waiting(servers, time.monotonic())
+            accounting.log_refusals(service, found.backlog)
+            await self._deliver(answers)
         if found is None or not found.backlog.prompts:
             self.waiting_services.discard(service)
 
--- a/src/mangorock/scheduler.py
+++ b/src/mangorock/scheduler.py
@@ -126,6 +126,7 @@
                 now,
                 now + rejection.retry_after_s,
             )
+            self.backlog.note_refusal(prompt, backlogs.Cause.HOPELESS, now)
             return rejection, []
         self.backlog.add(prompt)
         answer = messages.Queued(max(0.0, expected_s))
