Give the id in prompt_refused the key that other lines use

Cause: the field was named request_id, so that a search for request=ID missed the line. Change: the key.

--- a/src/mangorock/backlog.py
+++ b/src/mangorock/backlog.py
@@ -52,7 +52,7 @@
     that until its target; ``waiting`` is the number of prompts that wait.
     """
 
-    request_id: str
+    request: str
     cause: str
     shared_tokens: int
     own_tokens: int
