Show that a large prompt is refused for the time of its own prefill

Cause: not changed yet. A prompt may wait until its target has passed twice, less the time of its own prefill.

--- a/tests/test_prompt_sizes.py
+++ b/tests/test_prompt_sizes.py
@@ -206,5 +206,41 @@
                 )
 
 
+class SlowPrefill(unittest.TestCase):
+    """The prefill of a large prompt takes twice its target, or longer.
+
+    It was refused for that though its caller would have waited, also by
+    engines without any other work.  Engines that were slow in a burst kept
+    that reputation after it, as nothing was sent to them that corrects it.
+    """
+
+    def setUp(self):
+        self.engines = test_scheduler.make_engines(0, 1)
+        self.scheduler = scheduler.Scheduler(PROFILE)
+
+    def ask(self, request_id, own_tokens):
+        request = test_scheduler.make_request(
+            request_id,
+            '',
+            own_tokens,
+            shared_tokens=0,
+            target_s=TARGET_S,
+            target_left_s=TARGET_S,
+            left_s=PATIENCE_S,
+        )
+        return self.scheduler.place(request, self.engines, 0.0)[0]
+
+    def test_idle_engines_take_a_prompt_that_ends_before_its_caller(self):
+        answer = self.ask('large', 40000)
+        self.assertIsInstance(answer, messages.Assignment)
+        self.assertGreater(answer.expected_s, 2 * TARGET_S)
+
+    def test_large_prompt_waits_as_long_as_a_small_one(self):
+        self.ask('first', 18000)
+        for request_id, own_tokens in (('small', 100), ('large', 20000)):
+            answer = self.ask(request_id, own_tokens)
+            self.assertIsInstance(answer, messages.Queued, request_id)
+
+
 if __name__ == '__main__':
     unittest.main()
