Keep large prompts from being shut out of overloaded engines

Cause: the order of the backlog. A prompt that can no longer be in time gets only what those leave that can, and its own prefill uses up its target: a large one is late soon after its arrival or from the start. At its arrival all that could be in time counted as before it, so that it was refused at once. Change: sizes divides the prompts of a kind into the largest tenth, the fifth below it and the rest; a band that is served less than half as often as all is owed a turn, and its next prompt goes first among its priority. More urgent prompts go before it; a calm time saves no turns, and a debt is bounded.

--- a/src/mangorock/backlog.py
+++ b/src/mangorock/backlog.py
@@ -8,6 +8,9 @@
   can still be in time goes first, so that none is shut out.
 * More prompts than can be in time: late ones are served with what is left,
   since a late answer is worth more to its caller than none.
+* Large prompts, which cannot be in time soon after their arrival: while their
+  sizes are served far less often than all, the next one goes first among its
+  priority, also late (see ``sizes``).
 * Callers that give up: their prompts leave the queue as soon as no engine
   can answer before that.
 * An account that sends more than its share: `fairness.Shares` divides the
@@ -19,6 +22,7 @@
 import attrs
 
 from mangorock import fairness
+from mangorock import sizes
 
 # Of this many prompts assigned in a row, the last goes to the prompt whose
 # latest start comes first, whatever its priority.
@@ -81,6 +85,7 @@
     shortest_s: float = 0.0
     cost_s: float = 0.0
     delay_s: float = 0.0
+    band: sizes.Band | None = None
     flow: tuple = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -106,6 +111,7 @@
     refusals: list = attrs.field(factory=list)
     turn: int = 0
     shares: fairness.Shares = attrs.field(factory=fairness.Shares)
+    bands: sizes.Sizes = attrs.field(factory=sizes.Sizes)
 
     def add(self, prompt):
         """Add a prompt; one with the same request id is replaced."""
@@ -131,6 +137,8 @@
         prompt = self.prompts.pop(request_id, None)
         if prompt is not None:
             self.shares.on_leave(prompt.flow, is_served)
+            if is_served is not None and prompt.band is not None:
+                self.bands.on_end(prompt.band, is_served)
         return prompt
 
     def take_lost(self, now):
@@ -202,9 +210,36 @@
         keys = [_sort_key(prompt, now) for prompt in prompts]
         numbers = sorted(range(len(prompts)), key=keys.__getitem__)
         ordered = [prompts[n] for n in numbers]
-        if not self.shares.levels:
-            return ordered
-        return self.shares.order(ordered, [keys[n][:2] for n in numbers])
+        if self.shares.levels:
+            groups = [keys[n][:2] for n in numbers]
+            ordered = self.shares.order(ordered, groups)
+        return self._by_sizes(ordered, now)
+
+    def _by_sizes(self, prompts, now):
+        """Move the next prompt of each band that is owed one to the front.
+
+        More urgent prompts in time stay before it.
+        """
+        owed = {}
+        for prompt in prompts:
+            if prompt.band is not None and self.bands.is_owed(prompt.band):
+                owed.setdefault(prompt.band, prompt)
+        if not owed:
+            return prompts
+        first = list(owed.values())
+        ordered = [p for p in prompts if p not in first]
+        for prompt in reversed(first):
+            place = sum(
+                p.may_be_in_time(now)
+                and p.request.priority < prompt.request.priority
+                for p in ordered
+            )
+            ordered.insert(place, prompt)
+        return ordered
+
+    def is_owed(self, prompt):
+        """Return whether a prompt goes first for its size, also if late."""
+        return prompt.band is not None and self.bands.is_owed(prompt.band)
 
     def hand_on_position(self, assigned, now):
         """Move the accounts' prompts that an assigned one overtook back.
--- a/src/mangorock/scheduler.py
+++ b/src/mangorock/scheduler.py
@@ -108,6 +108,7 @@
             now + min(request.left_s, self._longest_wait_s(request)),
             best.shortest_s,
             best.cost_s,
+            band=self.backlog.bands.band(request),
         )
         expected_s = self._expected_wait_s(prompt, options, best, now)
         rejection = messages.Rejection(max(MIN_RETRY_AFTER_S, expected_s))
@@ -126,6 +127,7 @@
                 now,
                 now + rejection.retry_after_s,
             )
+            self.backlog.bands.on_end(prompt.band, False)
             self.backlog.note_refusal(prompt, backlogs.Cause.HOPELESS, now)
             return rejection, []
         self.backlog.add(prompt)
@@ -202,7 +204,8 @@
             best = self._best_candidate(prompt, options)
             if best is None:
                 continue
-            if now + best.first_event_s > prompt.target_at_s:
+            is_late = now + best.first_event_s > prompt.target_at_s
+            if is_late and not self.backlog.is_owed(prompt):
                 late.append((prompt, best))
                 continue
             if best.queue_s <= LOOKAHEAD_S:
--- a/tests/test_prompt_sizes.py
+++ b/tests/test_prompt_sizes.py
@@ -206,6 +206,63 @@
                 )
 
 
+class OwedTurns(unittest.TestCase):
+    """A band of sizes that is owed a turn, and what waits beside it.
+
+    Turns for large prompts must not delay more urgent kinds, nor let those
+    of a calm time be saved for a rush of large prompts.
+    """
+
+    def setUp(self):
+        self.backlog = backlog.Backlog()
+
+    def add(self, request_id, own_tokens, shortest_s, priority=1):
+        request = test_scheduler.make_request(
+            request_id, '', own_tokens, shared_tokens=0, priority=priority
+        )
+        prompt = backlog.WaitingPrompt(request, None, TARGET_S, PATIENCE_S)
+        prompt.shortest_s = shortest_s
+        prompt.band = self.backlog.bands.band(request)
+        self.backlog.add(prompt)
+        return prompt
+
+    def add_prompts(self):
+        for number in range(32):
+            self.add(f'r{number}', 100 + number, 0.1)
+            self.backlog.remove(f'r{number}')
+        large = self.add('large', 1000, 1.0)
+        self.add('small', 100, 0.1)
+        self.add('urgent', 100, 0.1, priority=0)
+        return large
+
+    def names(self):
+        ordered = self.backlog.ordered(0.0)
+        return [prompt.request.request_id for prompt in ordered]
+
+    def test_owed_prompt_goes_behind_more_urgent_ones(self):
+        large = self.add_prompts()
+        self.assertEqual(['urgent', 'small', 'large'], self.names())
+        for _ in range(8):
+            self.backlog.bands.on_end(large.band, False)
+        self.assertEqual(['urgent', 'large', 'small'], self.names())
+
+    def test_turns_of_a_calm_time_are_not_saved(self):
+        large = self.add_prompts()
+        for _ in range(1000):
+            self.backlog.bands.on_end(large.band, True)
+        for _ in range(8):
+            self.backlog.bands.on_end(large.band, False)
+        self.assertTrue(self.backlog.is_owed(large))
+
+    def test_debt_of_an_overload_ends_soon_after_it(self):
+        large = self.add_prompts()
+        for _ in range(1000):
+            self.backlog.bands.on_end(large.band, False)
+        for _ in range(16):
+            self.backlog.bands.on_end(large.band, True)
+        self.assertFalse(self.backlog.is_owed(large))
+
+
 class SlowPrefill(unittest.TestCase):
     """The prefill of a large prompt takes twice its target, or longer.
 
