Let a large prompt wait for an engine until its target

Cause: a prompt was refused once its first event was expected later than twice its target, and that time includes its own prefill: the longer the prefill, the shorter the wait, down to none. Change: a prompt may wait until its target at least, if its caller waits for its prefill after that. What its caller will not wait for is still refused at once.

--- a/src/mangorock/backlog.py
+++ b/src/mangorock/backlog.py
@@ -71,7 +71,8 @@
 class WaitingPrompt:
     """A prompt at the scheduler that no engine has got yet.
 
-    ``target_at_s`` is when its first event is late, ``gives_up_at_s`` when
+    ``target_at_s`` is when its first event is late, ``waits_until_s`` when it
+    has to come at the latest for prompts that wait, ``gives_up_at_s`` when
     its caller gives up, and ``shortest_s`` the expected time to its first
     event from its assignment to an idle engine.  ``reply(message)`` sends a
     message to the VM that asked.  ``flow`` is the flow whose share it uses,
@@ -85,6 +86,7 @@
     shortest_s: float = 0.0
     cost_s: float = 0.0
     delay_s: float = 0.0
+    waits_until_s: float = float('inf')
     band: sizes.Band | None = None
     flow: tuple = attrs.field(init=False)
 
@@ -95,9 +97,19 @@
         """Return whether its first event can come before the target."""
         return now + self.shortest_s <= self.target_at_s
 
+    @property
+    def latest_start_s(self):
+        """Return until when it may be assigned.
+
+        A prompt whose prefill is long may wait until its target at least, if
+        its caller waits for it: its size alone is no reason to refuse it.
+        """
+        latest_s = max(self.target_at_s, self.waits_until_s - self.shortest_s)
+        return min(latest_s, self.gives_up_at_s - self.shortest_s)
+
     def is_lost(self, now):
-        """Return whether its first event comes after the caller gives up."""
-        return now + self.shortest_s > self.gives_up_at_s
+        """Return whether it is too late to assign it."""
+        return now > self.latest_start_s
 
 
 @attrs.define
@@ -295,7 +307,7 @@
         latest_start_s = prompt.target_at_s - prompt.shortest_s
         position_s = latest_start_s + prompt.delay_s
         return 0, prompt.request.priority, position_s
-    return 1, 0, prompt.gives_up_at_s - prompt.shortest_s + prompt.delay_s
+    return 1, 0, prompt.latest_start_s + prompt.delay_s
 
 
 def _with_fair_turn(prompts, now):
--- a/src/mangorock/scheduler.py
+++ b/src/mangorock/scheduler.py
@@ -105,15 +105,16 @@
             request,
             reply,
             now + request.target_left_s,
-            now + min(request.left_s, self._longest_wait_s(request)),
+            now + request.left_s,
             best.shortest_s,
             best.cost_s,
+            waits_until_s=now + self._longest_wait_s(request),
             band=self.backlog.bands.band(request),
         )
         expected_s = self._expected_wait_s(prompt, options, best, now)
         rejection = messages.Rejection(max(MIN_RETRY_AFTER_S, expected_s))
         others = []
-        is_hopeless = self._is_hopeless(prompt, expected_s, now)
+        is_hopeless = prompt.is_lost(now + expected_s)
         if not is_hopeless and len(self.backlog.prompts) >= MAX_WAITING:
             displaced = self.backlog.take_displaced(prompt, now)
             if displaced is None:
@@ -177,10 +178,6 @@
         before_s = self.backlog.work_before_s(prompt, now)
         return best.queue_s + before_s / len(options.states)
 
-    @staticmethod
-    def _is_hopeless(prompt, expected_s, now):
-        return now + expected_s + prompt.shortest_s > prompt.gives_up_at_s
-
     def _assign_waiting(self, options, now):
         """Assign prompts in order while an engine is free.
 
@@ -216,7 +213,7 @@
         # What the prompts in time leave free.
         for prompt, best in late:
             is_free = best.prefiller.queue_s <= LOOKAHEAD_S
-            if is_free and not self._is_too_late(prompt, best, now):
+            if is_free and not prompt.is_lost(now + best.queue_s):
                 answers.append((prompt, self._assign(prompt, best, now)))
                 options.reserve(best)
         return answers
@@ -230,10 +227,6 @@
             prompt.shortest_s, prompt.cost_s = best.shortest_s, best.cost_s
         return best
 
-    @staticmethod
-    def _is_too_late(prompt, candidate, now):
-        return now + candidate.first_event_s > prompt.gives_up_at_s
-
     def _retry_after_s(self, options):
         """Return when the prompts that wait now will have been assigned."""
         queued_s = sum(state.queue_s for state in options.states)
