Show that an engine keeps its slow reputation for ever

Cause: not changed yet; an engine that seems slow gets no prompts, and only prompts correct what was learnt of it.

--- a/tests/test_prompt_sizes.py
+++ b/tests/test_prompt_sizes.py
@@ -299,5 +299,30 @@
             self.assertIsInstance(answer, messages.Queued, request_id)
 
 
+class SlowReputation(unittest.TestCase):
+    """An engine that was slow for a while gets prompts again.
+
+    Nothing was sent to it that would have corrected its learned time, so that
+    it idled beside engines that were overloaded.
+    """
+
+    def test_engine_that_is_fast_again_is_used_within_seconds(self):
+        servers = test_scheduler.make_engines(2, 1)
+        found, slow = scheduler.Scheduler(PROFILE), servers[0].server_id
+        prefills = []
+        for number in range(100):
+            now = number / 2
+            request = test_scheduler.make_request(
+                f'r{number}', '', 4000, shared_tokens=0
+            )
+            placed = found.place(request, servers, now)[0]
+            is_slow = placed.prefill == slow and number < 40
+            seconds = (8.0 if is_slow else 1.0) * 0.1
+            outcome = messages.Outcome('s', request.request_id, seconds)
+            found.record_outcome(outcome, servers, now + seconds)
+            prefills.append(placed.prefill)
+        self.assertGreaterEqual(prefills[50:].count(slow), 10)
+
+
 if __name__ == '__main__':
     unittest.main()
