Show that one slow prompt makes an engine seem four times as slow

Cause: not changed yet. The time of a prompt corrects both the fit of its stage and the speed of its engine, each for the whole deviation, and the expected time is their product. What seems slower than the target is used for nothing, and large prompts are the first that no engine seems able to serve. Result: 3.5 s are expected after one prompt of 0.8 s.

--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -34,6 +34,16 @@
                     )
                     self.assertTrue(0.8 < ratio < 1.25, (scale, tokens, ratio))
 
+    def test_slow_prompts_are_not_counted_twice(self):
+        # Both the stage and the engine were made slower by what one prompt
+        # showed, so that 4.4 times its seconds were expected of the next.
+        server = test_scheduler.make_engines(2, 1)[0]
+        for count in (1, 2, 3, 10):
+            model = engine_models.PrefillModel()
+            for _ in range(count):
+                model.observe(server, 4000, 0.8)
+            self.assertLessEqual(model.seconds(server, 4000), 1.25 * 0.8)
+
     def test_prompts_of_one_size_leave_a_sensible_line(self):
         fit = engine_models.PrefillFit(0.015, 1 / 48000)
         for _ in range(200):
