Show that a VM takes long prompts for short ones under load

Cause: not changed yet. Whether prompts of a route are long, so that the shared scheduler places them, hangs on the slope of a line through the prompts that went straight to decode engines; where their times hardly grow with their tokens, that is next to nothing.

--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -34,6 +34,18 @@
                     )
                     self.assertTrue(0.8 < ratio < 1.25, (scale, tokens, ratio))
 
+    def test_long_prompts_stay_long_whatever_the_load_did_to_others(self):
+        # Prompts on engines of different load took a time that did not grow
+        # with their tokens, so that a VM took all prompts for short ones and
+        # placed them by itself, beside the scheduler.
+        server = test_scheduler.make_engines(2, 1)[2]
+        model = engine_models.PrefillModel()
+        for number in range(40):
+            tokens, seconds = ((600, 0.12), (9000, 0.13))[number % 2]
+            model.observe(server, tokens, seconds, True)
+        expected_s = 3700 * model.mean_token_s(server.service)
+        self.assertGreater(expected_s, 0.06)
+
     def test_slow_prompts_are_not_counted_twice(self):
         # Both the stage and the engine were made slower by what one prompt
         # showed, so that 4.4 times its seconds were expected of the next.
