Count the time of a prompt once, for the stage or for the engine

Cause: what a prompt took longer than expected was added in full to the fit of its stage and to the slowdown of its engine, and the expected time is their product. Change: the slowdown is compared with the fit that has learnt of the prompt.

--- a/src/mangorock/engines.py
+++ b/src/mangorock/engines.py
@@ -172,8 +172,9 @@
     def observe(self, server, tokens, seconds, is_queued=False):
         """Record that a server prefilled ``tokens`` within ``seconds``."""
         fit, slowdown = self._fit(server, is_queued), self.slowdown(server)
-        nominal_s = fit.predict(tokens)
         fit.add(tokens, seconds / slowdown)
+        # What the fit has learnt of this prompt is no slowdown of the engine.
+        nominal_s = fit.predict(tokens)
         speed = self.speeds.setdefault(server.incarnation, Speed())
         speed.add(nominal_s, min(seconds, MAX_SAMPLE_RATIO * nominal_s))
 
