Tell long prompts by their mean time, not by the slope of a line

Callers saw: while engines were overloaded, single VMs placed most of their long prompts by themselves, beside the scheduler, which then took engines for slow that others used and refused large prompts for them. Cause: whether prompts of a route are long hung on the slope of a line through the times of prompts; where those differ by the load of the engines rather than by their tokens, the slope is next to nothing, and long prompts seem short. Change: the mean time of a token decides, overhead included.

--- a/src/mangorock/engines.py
+++ b/src/mangorock/engines.py
@@ -76,6 +76,19 @@
         self.overhead_s = self.start_overhead_s
         self.token_s = self.start_token_s
 
+    @property
+    def mean_token_s(self):
+        """Return the seconds for each token of a mean prompt.
+
+        Unlike the slope of the line it cannot vanish where times differ by
+        the load of engines rather than by tokens.
+        """
+        tokens, seconds = self.tokens_sum, self.seconds_sum
+        for start_tokens in START_SAMPLE_TOKENS:
+            tokens += start_tokens
+            seconds += self._start_seconds(start_tokens)
+        return seconds / tokens
+
     def _start_seconds(self, tokens):
         return self.start_overhead_s + self.start_token_s * tokens
 
@@ -166,8 +179,11 @@
         return self.slowdown(server) * self._fit(server, True).token_s
 
     def mean_token_s(self, service):
-        """Return the seconds for a token on an average decode engine."""
-        return self._stage_fit(service, False, True).token_s
+        """Return the seconds for a token on an average decode engine.
+
+        They include the token's share of the overhead.
+        """
+        return self._stage_fit(service, False, True).mean_token_s
 
     def observe(self, server, tokens, seconds, is_queued=False):
         """Record that a server prefilled ``tokens`` within ``seconds``."""
