Write no body into the answer to HEAD

Callers saw: a closed connection in place of each refusal of a HEAD request, 404 and 503 included. Cause: the text of a refusal was written as the body, which h11 refuses for HEAD, after the head had been counted as begun. Change: `Reply` and `Responder` know that the request is a HEAD and leave the body out; the length is that of the answer to GET, as HTTP allows.

--- a/src/mangorock/http.py
+++ b/src/mangorock/http.py
@@ -48,11 +48,15 @@
 
 
 class Responder:
-    """Writes the response to a request; the server creates one for each."""
+    """Writes the response to a request; the server creates one for each.
+
+    ``is_head`` says that the request is a HEAD, whose response has no body.
+    """
 
     def __init__(self, sock, conn):
         self.sock = sock
         self.conn = conn
+        self.is_head = False
         self.is_started = False
         self.is_broken = False
 
@@ -70,7 +74,8 @@
         response = h11.Response(status_code=status, headers=list(head))
         self.is_started = True
         data = self.conn.send(response)
-        data += self.conn.send(h11.Data(data=body)) if body else b''
+        if body and not self.is_head:
+            data += self.conn.send(h11.Data(data=body))
         data += self.conn.send(h11.EndOfMessage())
         await self._write(data)
 
@@ -169,6 +174,7 @@
                 )
                 if request is None:
                     return
+                responder.is_head = request.method == 'HEAD'
                 await handler(request, responder)
                 if conn.our_state is not h11.DONE:
                     return
--- a/src/mangorock/ingress.py
+++ b/src/mangorock/ingress.py
@@ -59,6 +59,7 @@
     """Writes the answer to one request.
 
     ``must_close()`` says whether the answer must end the connection.
+    ``is_head`` says that the request is a HEAD, whose answer has no body.
     ``progress`` tells how much was written, and ``caller_error`` why no more
     can be: the caller closed its connection or a write to it failed.  It is
     '' as long as neither happened, so an `OSError` that reaches the handler
@@ -70,6 +71,7 @@
         self.sock = connection.sock
         self.conn = connection.conn
         self.must_close = must_close
+        self.is_head = False
         self.is_started = False
         self.progress = Progress.NONE
         self.caller_error = ''
@@ -78,6 +80,8 @@
         """Send a complete answer."""
         head = [*headers, (b'content-length', str(len(body)).encode())]
         data = self._encode_head(status, head)
+        if self.is_head:
+            body = b''
         if body:
             # Written below, as `send` would copy it.
             self.conn.send_with_data_passthrough(h11.Data(data=body))
@@ -315,6 +319,7 @@
             return await self._refuse(reply, exc)
         if request is None:
             return False
+        reply.is_head = request.method == 'HEAD'
         max_connections = self.get_max_connections() + SURPLUS_CONNECTIONS
         if len(self.connections) > max_connections:
             return await self._refuse(reply, reading.no_room())
