Hold repeats against the same windows at all VMs

Callers saw: with bursts of traffic while servers failed, a service got more repeats than the platform allows. Cause: each VM allowed the share of the requests of the window before a repeat. The spans of the platform's rule end later, and it takes the requests of one of three windows; what a VM allowed straddled them. Change: a VM holds each span in which a repeat counts against the mean of the requests of the three windows. The sum over the VMs then keeps to the rule wherever the requests come in, as the sum of means is no more than the largest sum. A VM allows a third of the share in the first moments of traffic.

--- a/src/mangorock/budget.py
+++ b/src/mangorock/budget.py
@@ -6,6 +6,10 @@
 received itself and its part of the slack, so that the sum keeps within the
 bound whatever the VMs know of each other.
 
+The platform takes the requests of one of three windows, whichever has most
+over all VMs.  A VM cannot know which one, so it takes the mean of the three:
+the sum of the means is never more than the largest of the sums.
+
 All sends of a request pass its `Ledger`, which pays for those beyond the
 first.  The first call that a server accepts and that only prefills the prompt
 is free.  What will be needed is reserved before a request waits for a server
@@ -23,7 +27,7 @@
     ledger.close()
 """
 
-import collections
+import bisect
 
 import attrs
 
@@ -35,6 +39,11 @@
 # Share of the platform's bound that the VMs use, since the platform may count
 # some requests and arrivals that a VM cannot, or in a neighbouring window.
 USED_SHARE = 0.9
+# The platform counts requests in the window of the repeats, in the one before
+# it and in the one half a window before it.
+WINDOWS_BEFORE = (0.0, 0.5, 1.0)
+# Share of a window by which the beginnings of checked spans differ at most.
+CHECKED_STEP = 0.05
 
 
 @attrs.frozen
@@ -57,17 +66,23 @@
 
 @attrs.define
 class ServiceBudget:
-    """The requests for one service in the last window, and their repeats.
+    """The requests for one service in recent windows, and their repeats.
 
-    ``reserved`` counts repeats that are promised but not sent yet.
+    ``requests`` and ``repeats`` are the sorted times of both.  ``reserved``
+    counts repeats that are promised but not sent yet.
     """
 
     terms: Terms
     share: presence.SlackShare
-    requests: collections.deque = attrs.field(factory=collections.deque)
-    repeats: collections.deque = attrs.field(factory=collections.deque)
+    requests: list = attrs.field(factory=list)
+    repeats: list = attrs.field(factory=list)
     reserved: int = 0
 
+    @property
+    def span_s(self):
+        """Return how long before their arrival repeats may be paid for."""
+        return self.terms.window_s + TRANSIT_S
+
     def earn(self, now):
         """Record a request for the service."""
         self.requests.append(now)
@@ -75,17 +90,41 @@
 
     def forget_old(self, now):
         """Drop what no longer counts."""
-        window_s = self.terms.window_s
-        _drop_before(self.requests, now - window_s)
-        _drop_before(self.repeats, now - window_s - TRANSIT_S)
+        _drop_before(self.requests, now - 2 * self.terms.window_s)
+        _drop_before(self.repeats, now - self.span_s)
 
     def left(self, now):
         """Return how many repeats are allowed now; below 0 for none."""
         self.forget_old(now)
-        allowed = self.terms.ratio * len(self.requests)
-        settle_s = self.terms.window_s + TRANSIT_S
-        allowed += self.terms.slack * self.share.part(settle_s, now)
-        return allowed - len(self.repeats) - self.reserved
+        slack = self.terms.slack * self.share.part(self.span_s, now)
+        return slack - self.reserved + self._least_earned(now)
+
+    def _least_earned(self, now):
+        """Return what is left of the share of the requests.
+
+        That is the least over all spans that end now, as a repeat counts in
+        each of them.
+        """
+        step_s = CHECKED_STEP * self.terms.window_s
+        steps = int(self.span_s / step_s)
+        starts = {now - number * step_s for number in range(steps + 1)}
+        starts = sorted(starts.union(self.repeats))
+        pairs = zip([now - self.span_s, *starts], starts)
+        return min(self._earned_between(low, high) for low, high in pairs)
+
+    def _earned_between(self, low, high):
+        """Return the same for the spans that begin from ``low`` to ``high``.
+
+        Counts the requests that are in the windows of all of them.
+        """
+        window_s, requests = self.terms.window_s, 0
+        for windows in WINDOWS_BEFORE:
+            shift_s = TRANSIT_S - windows * window_s
+            first = bisect.bisect_left(self.requests, high + shift_s)
+            end = bisect.bisect_right(self.requests, low + shift_s + window_s)
+            requests += max(0, end - first)
+        spent = len(self.repeats) - bisect.bisect_left(self.repeats, high)
+        return self.terms.ratio * requests / len(WINDOWS_BEFORE) - spent
 
     def reserve(self, count, now):
         """Promise some repeats; return whether the budget allows them."""
@@ -101,8 +140,7 @@
 
 
 def _drop_before(times, moment):
-    while times and times[0] < moment:
-        times.popleft()
+    del times[: bisect.bisect_left(times, moment)]
 
 
 @attrs.define
