Show that VMs that come and go share out too much slack

Cause: not changed yet; a VM takes its part a window after its key was written, when the others may have used the whole a moment ago, and the others take the part of a VM whose key is gone while what that VM spent still counts.

--- a/tests/test_budget_replays.py
+++ b/tests/test_budget_replays.py
@@ -8,6 +8,7 @@
 import itertools
 import random
 import unittest
+from unittest import mock
 
 import attrs
 
@@ -23,6 +24,8 @@
 # The store may answer a listing with what it knew this long ago.
 STALE_S = 3.0
 SERVICE = 'desk'
+# Moment at which VMs come or go, long after the start.
+CHANGE_S = 50.0
 
 
 @attrs.define
@@ -168,5 +171,66 @@
         self.assertGreater(len(repeats), 0.8 * arrivals.RATIO * len(requests))
 
 
+class VmsThatShareTheSlack(unittest.TestCase):
+    """What VMs take of the slack in one window is no more than the whole.
+
+    The VMs that are already there knew of new ones too late, and those that
+    the store had forgotten were still at work when others took their part.
+    """
+
+    def check(self, make, seeds=8):
+        """Check VMs around a change at `CHANGE_S`; ``make`` takes a seed.
+
+        All servers fail for a moment soon after it, and again somewhat less
+        than a window later.
+        """
+        for seed, first_s, pause_s in itertools.product(
+            range(seeds), (2.0, 3.0, 4.0, 5.0, 6.0, 7.0), (8.0, 9.75)
+        ):
+            moments = CHANGE_S + first_s, CHANGE_S + first_s + pause_s
+
+            def load(now, vm, moments=moments):
+                del vm
+                return 4 if now in moments else 0
+
+            excess = Replay(make(seed), seed).run(CHANGE_S + 20.0, load)
+            self.assertLessEqual(excess, 0, (seed, *moments))
+
+    def test_vms_that_are_added(self):
+        self.check(
+            lambda seed: [
+                *make_vms(8, seed),
+                *make_vms(8, -1 - seed, start_s=CHANGE_S),
+            ]
+        )
+
+    def test_vms_whose_keys_the_store_drops(self):
+        # The store answers listings with what it knows now, so that others
+        # learn of it as soon as possible.
+        with mock.patch(f'{__name__}.STALE_S', 0.0):
+            self.check(
+                lambda seed: [
+                    *make_vms(2, seed),
+                    *make_vms(6, -1 - seed, cut_s=CHANGE_S),
+                ],
+                seeds=40,
+            )
+
+    def test_vms_that_are_killed_and_replaced(self):
+        self.check(
+            lambda seed: [
+                *make_vms(8, seed, end_s=CHANGE_S + 7.5),
+                *make_vms(8, -1 - seed, start_s=CHANGE_S + 8.0),
+            ]
+        )
+
+    def test_steady_fleet_uses_the_slack(self):
+        replay = Replay(make_vms(8), 1)
+        replay.run(CHANGE_S, lambda now, vm: 8 if now == 40.0 else 0)
+        self.assertGreater(
+            len(replay.log.repeats(SERVICE)), 0.8 * arrivals.SLACK
+        )
+
+
 if __name__ == '__main__':
     unittest.main()
