Measure retry budgets by a clock that goes on in a suspension

Callers saw: nothing known; a VM that wakes up could repeat requests beyond the platform's bound. Cause: the times of requests, repeats, keys and counts were those of the monotonic clock. It stands still while a VM is suspended, while the platform's window goes on and the other VMs take its part of the slack.

--- a/src/mangorock/accounting.py
+++ b/src/mangorock/accounting.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from mangorock import clocks
 from mangorock import errors
 from mangorock import ingress
 from mangorock import logs
@@ -154,7 +155,7 @@
         error=getattr(outcome, 'error', ''),
         send=context.sends,
         left_s=context.left_s,
-        budget=context.ledger.budget.left(time.monotonic()),
+        budget=context.ledger.budget.left(clocks.boot_clock()),
         parts=','.join(part.part_id for part in shared)[:MAX_LOGGED_CHARS],
     )
 
--- a/src/mangorock/admission.py
+++ b/src/mangorock/admission.py
@@ -49,7 +49,7 @@
             retry_after_s=STOP_RETRY_AFTER_S,
         )
     service = route.pick_service(gateway.rng.random())
-    ledger = gateway.budgets.open(service, time.monotonic())
+    ledger = gateway.budgets.open(service, clocks.boot_clock())
     context = contexts.RequestContext(
         request, route, reply, deadline_s, service, ledger, account
     )
--- a/src/mangorock/budget.py
+++ b/src/mangorock/budget.py
@@ -15,7 +15,8 @@
 is free.  What will be needed is reserved before a request waits for a server
 again, so that it does not wait in vain.
 
-These are state machines without clocks or sockets.
+These are state machines without clocks or sockets.  Their times are those of
+a clock that advances while the VM is suspended, as the platform's window does.
 
 Example::
 
--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -105,7 +105,7 @@
     def set_vm_count(self, vm_count):
         """Divide server capacity and retry slack among the entry VMs."""
         self.placer.vm_count = vm_count
-        self.budgets.share.on_count(vm_count, time.monotonic())
+        self.budgets.share.on_count(vm_count, clocks.boot_clock())
 
     async def handle(self, raw, reply):
         """Serve one request; the handler of an `ingress.Ingress`."""
@@ -249,7 +249,7 @@
         incarnations = self.registry.incarnations
         self.placer.forget(incarnations)
         self.outliers.forget(incarnations)
-        self.budgets.forget_idle(now)
+        self.budgets.forget_idle(clocks.boot_clock())
         for service, queue in self.wait_queues.items():
             queue.forget(now)
             accounting.log_shares(service, 'queue', queue.shares)
@@ -331,7 +331,7 @@
         others = [s for s in self.eligible_servers(context) if s != server]
         if not others or place(others) is None:
             return False
-        return context.ledger.reserve(time.monotonic())
+        return context.ledger.reserve(clocks.boot_clock())
 
     def make_dispatch(self, context, server, is_prefill=False, **options):
         """Return the `traffic.Dispatch` of this request to a server.
@@ -339,12 +339,11 @@
         Each send needs one, as it is paid for here.
         """
         admission.check_sendable(self, context)
-        now = time.monotonic()
-        if not context.ledger.send(now, is_prefill):
+        if not context.ledger.send(clocks.boot_clock(), is_prefill):
             raise refusals.backend_refused(
                 context, self.retry_after_s(context.service)
             )
-        context.sent_at_s, context.begun_at_s = now, 0.0
+        context.sent_at_s, context.begun_at_s = time.monotonic(), 0.0
         return traffic.Dispatch(
             server,
             context.left_s,
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -15,6 +15,7 @@
 
 from mangorock import accounting
 from mangorock import admission
+from mangorock import clocks
 from mangorock import delivery
 from mangorock import events
 from mangorock import limited
@@ -296,7 +297,7 @@
         return (
             self.prefill_attempts < MAX_PREFILL_ATTEMPTS
             and self.context.is_prefill_left
-            and self.context.ledger.reserve(time.monotonic(), True)
+            and self.context.ledger.reserve(clocks.boot_clock(), True)
         )
 
     def _avoid_prefill(self, placed):
--- a/src/mangorock/presence.py
+++ b/src/mangorock/presence.py
@@ -15,11 +15,10 @@
 the loops.
 """
 
-import time
-
 import attrs
 import curio
 
+from mangorock import clocks
 from mangorock import errors
 from mangorock import logs
 
@@ -139,7 +138,7 @@
     """
     lease = None
     while True:
-        sent_s = time.monotonic()
+        sent_s = clocks.boot_clock()
         try:
             if lease is None:
                 granted = await store.grant_lease(LEASE_S)
@@ -148,7 +147,7 @@
                 logs.event('presence_announced', lease=lease)
             else:
                 await store.keep_lease(lease)
-            share.on_renewed(sent_s, time.monotonic())
+            share.on_renewed(sent_s, clocks.boot_clock())
         except LeaseLost:
             logs.event('presence_lost', lease=lease)
             lease = None
--- a/src/mangorock/retries.py
+++ b/src/mangorock/retries.py
@@ -5,8 +5,7 @@
 what the request has cost before.
 """
 
-import time
-
+from mangorock import clocks
 from mangorock import metrics
 from mangorock import refusals
 from mangorock import sending
@@ -24,7 +23,7 @@
         and context.route.is_repeatable
         and context.is_server_left
         and context.left_s > silence.MIN_ATTEMPT_TIMEOUT_S
-        and context.ledger.can_pay(time.monotonic())
+        and context.ledger.can_pay(clocks.boot_clock())
     )
 
 
@@ -61,7 +60,7 @@
 
 def _reserve(gateway, context):
     """Reserve the next send, or raise the error that ends the request."""
-    if not context.ledger.reserve(time.monotonic()):
+    if not context.ledger.reserve(clocks.boot_clock()):
         gateway.metrics.add('retry_budget_exhausted')
         raise refusals.backend_refused(
             context, gateway.retry_after_s(context.service)
