--- a/src/mangorock/budget.py
+++ b/src/mangorock/budget.py
@@ -7,15 +7,16 @@
 bound whatever the VMs know of each other.
 
 The platform takes the requests of one of three windows, whichever has most
-over all VMs.  A VM cannot know which one, so all VMs take the same: that which
-begins half a window before the span in which the repeats arrive.
+over all VMs.  A VM cannot know which one, so it takes the mean of the three:
+the sum of the means is never more than the largest of the sums.
 
 All sends of a request pass its `Ledger`, which pays for those beyond the
 first.  The first call that a server accepts and that only prefills the prompt
 is free.  What will be needed is reserved before a request waits for a server
 again, so that it does not wait in vain.
 
-These are state machines without clocks or sockets.
+These are state machines without clocks or sockets.  Their times are those of
+a clock that advances while the VM is suspended, as the platform's window does.
 
 Example::
 
@@ -39,6 +40,9 @@
 # Share of the platform's bound that the VMs use, since the platform may count
 # some requests and arrivals that a VM cannot, or in a neighbouring window.
 USED_SHARE = 0.9
+# The platform counts requests in the window of the repeats, in the one before
+# it and in the one half a window before it.
+WINDOWS_BEFORE = (0.0, 0.5, 1.0)
 # Share of a window by which the beginnings of checked spans differ at most.
 CHECKED_STEP = 0.05
 
@@ -87,7 +91,7 @@
 
     def forget_old(self, now):
         """Drop what no longer counts."""
-        _drop_before(self.requests, now - 1.5 * self.terms.window_s)
+        _drop_before(self.requests, now - 2 * self.terms.window_s)
         _drop_before(self.repeats, now - self.span_s)
 
     def left(self, now):
@@ -114,11 +118,14 @@
 
         Counts the requests that are in the windows of all of them.
         """
-        half_s = self.terms.window_s / 2
-        first = bisect.bisect_left(self.requests, high + TRANSIT_S - half_s)
-        end = bisect.bisect_right(self.requests, low + TRANSIT_S + half_s)
+        window_s, requests = self.terms.window_s, 0
+        for windows in WINDOWS_BEFORE:
+            shift_s = TRANSIT_S - windows * window_s
+            first = bisect.bisect_left(self.requests, high + shift_s)
+            end = bisect.bisect_right(self.requests, low + shift_s + window_s)
+            requests += max(0, end - first)
         spent = len(self.repeats) - bisect.bisect_left(self.repeats, high)
-        return self.terms.ratio * max(0, end - first) - spent
+        return self.terms.ratio * requests / len(WINDOWS_BEFORE) - spent
 
     def reserve(self, count, now):
         """Promise some repeats; return whether the budget allows them."""
