--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -105,6 +105,7 @@
     def set_vm_count(self, vm_count):
         """Divide server capacity and retry slack among the entry VMs."""
         self.placer.vm_count = vm_count
+        self.registry.rates.vm_count = vm_count
         self.budgets.share.on_count(vm_count, time.monotonic())
 
     async def handle(self, raw, reply):
@@ -311,8 +312,7 @@
                 context, server, lambda s: self._place_plain(service, s)
             ),
         )
-        context.sends += 1
-        may_have_run_before, context.may_have_run = context.may_have_run, True
+        may_have_run_before = context.begin_attempt()
         is_counted = self.count_start(context)
         outcome = await self.sender.call(context.request, dispatch, limits)
         context.record_outcome(outcome, may_have_run_before)
