--- a/tests/budget_stress.py
+++ b/tests/budget_stress.py
@@ -20,8 +20,8 @@
 import curio
 
 from tests import arrivals
-from tests import soak
 from tests import soak_proxy
+from tests import soak_vms
 from tests import test_budget
 
 RATES = {'safe': 20, 'unsafe': 10, 'stream': 40, 'long': 15}
@@ -48,7 +48,7 @@
         self.rng, self.late = random.Random(seed), late
         self.moves, self.began_s = moves, None
         self.vms = [
-            soak.Vm(n, folder, soak_proxy.Proxy(('127.0.0.1', 0)))
+            soak_vms.Vm(n, folder, soak_proxy.Proxy(('127.0.0.1', 0)))
             for n in range(vms)
         ]
         self.ends = 0
