Learn a slow prompt of its engine first, the rest of its stage

Callers saw: engines idled beside overloaded ones, since one slow prompt made the whole stage seem slow, and nothing was sent there that corrected it. Change: the speed of the engine learns first, and the fit of the stage what that does not explain; the product still is the time that was measured.

--- a/src/mangorock/engines.py
+++ b/src/mangorock/engines.py
@@ -187,12 +187,12 @@
 
     def observe(self, server, tokens, seconds, is_queued=False):
         """Record that a server prefilled ``tokens`` within ``seconds``."""
-        fit, slowdown = self._fit(server, is_queued), self.slowdown(server)
-        fit.add(tokens, seconds / slowdown)
-        # What the fit has learnt of this prompt is no slowdown of the engine.
+        fit = self._fit(server, is_queued)
         nominal_s = fit.predict(tokens)
         speed = self.speeds.setdefault(server.incarnation, Speed())
         speed.add(nominal_s, min(seconds, MAX_SAMPLE_RATIO * nominal_s))
+        # What the engine's speed explains now is not learnt of its stage too.
+        fit.add(tokens, seconds / speed.slowdown)
 
     def slowdown(self, server):
         """Return a server's prefill time relative to an average engine."""
