Test short prompts at two engines that both name a limit

The bound is that of the rule as before; that an engine without a limit serves the callers is still checked with long prompts.

--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -409,22 +409,19 @@
 
     @run
     async def test_short_prompts_are_held_to_the_limit(self):
-        # Guards against limits that only prompts with a prefill keep to.
+        # Guards against limits that only prompts with a prefill keep to: two
+        # engines get at least 96 in 4 s in all, and 58 are allowed.
         engines = [
-            LIMITED('d1', b'1.0', vm_fleet.stream, 'llm', stage='decode'),
-            LIMITED('d2', None, vm_fleet.stream, 'llm', stage='decode'),
+            LIMITED(f'd{n}', b'4.0', vm_fleet.stream, 'llm', stage='decode')
+            for n in range(2)
         ]
-        for engine in engines:
-            engine.work_s = WORK_S
         async with vm_fleet.VmFleet(3, *engines) as cluster:
             calls = await cluster.call_steadily(
-                FEW_PER_S / 2,
-                SECONDS,
-                path='/ask/',
-                headers=fleet.prompt_headers,
+                FEW_PER_S, SECONDS, path='/ask/', headers=fleet.prompt_headers
             )
-        self.assertEqual([200], statuses(calls))
-        self.assert_held(engines[0], 1.0)
+        for engine in engines:
+            self.assert_held(engine, 4.0)
+        self.assertEqual([200, 503], statuses(calls))
 
 
 class Disturbances(ServerLimits):
