Show that reads of engines' states exceed limits

Callers saw: an engine in need gets four requests a second more than it takes. Cause, not changed yet: the VM that orders stage changes reads the state of the engine before each try, every 0.25 s for as long as the change is wanted and the state can't be read or the engine is busy. These reads use no slot.

--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+import time
 import types
 import unittest
 from unittest import mock
@@ -319,6 +320,7 @@
     def __init__(self, seed, vms=3):
         self.rng = random.Random(seed)
         self.now = 100.0
+        self.calls = 0
         self.store = ModelStore(self.rng, lambda: self.now)
         self.service = SimulatedService()
         self.registry = registry.Registry()
@@ -349,6 +351,7 @@
 
     async def call(self, address, method, path, headers, body=None):
         """Record an order, sometimes without an answer."""
+        self.calls += 1
         if method == 'POST':
             self.orders.append((self.now, body.holder, body.fence))
             if self.rng.random() < 0.3:
@@ -440,5 +443,21 @@
         simulation.store.create = original
 
 
+class EnginesWithLimits(unittest.TestCase):
+    """An engine that states a limit keeps its stage."""
+
+    def test_engine_is_neither_asked_nor_ordered(self):
+        # Guards against reads of its state every 0.25 s beside its requests.
+        simulation = Simulation(3, vms=1)
+        limited = simulation.registry.servers['decode3']
+        rates = simulation.registry.rates
+        rates.on_told(limited, 1.0, time.time(), 0.0)
+        curio.run(simulation.run, 50)
+        self.assertEqual(0, simulation.calls)
+        rates.on_told(limited, None, time.time() - 10.0, 0.0)
+        curio.run(simulation.run, 50)
+        self.assertGreater(simulation.calls, 0)
+
+
 if __name__ == '__main__':
     unittest.main()
