Order no stage changes of engines that state a limit

Callers saw: an engine in need gets four requests a second more than it takes. Cause: the reads of an engine's state before an order use no slot of its limit, and are repeated every 0.25 s where the state can't be read or the engine is busy. Class of fault: calls that VMs make on their own, beside those that bear requests; the release of handles already spares such engines. Change: the controller leaves an engine alone for as long as it states a limit. The planner may go on wanting it, which delays other changes for that time.

--- a/src/mangorock/staging.py
+++ b/src/mangorock/staging.py
@@ -136,6 +136,7 @@
     announce_away: object
     clock: object = time.monotonic
     boot_clock: object = clocks.boot_clock
+    unix_clock: object = time.time
     leaderships: dict = attrs.field(factory=dict)
     requests: dict = attrs.field(factory=dict)
     order_times_s: dict = attrs.field(factory=dict)
@@ -173,6 +174,9 @@
             return None
         if not self.registry.is_usable(server, now):
             return None
+        if self.registry.rates.is_limited(server, self.unix_clock()):
+            # A read of its state would come beside the requests that it takes.
+            return None
         ordered_s = self.order_times_s.get(server.incarnation, float('-inf'))
         is_settled = now - ordered_s >= stages.SETTLE_S
         if now - requested_s > REQUEST_TTL_S or not is_settled:
