Show that engines get no prompts after their limit

Callers would see: fewer engines for long prompts, for good, once some of them had a limit for a moment. Cause, not changed yet: the scheduler avoids all engines that state a limit, so they get nothing while others have none, and only a response ends a limit.

--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -218,6 +218,33 @@
         for vm in vms:
             self.assertGreater(limited.received_from(vm, last_s), 0, vm)
 
+    @run
+    async def test_engine_without_its_limit_gets_prompts_again(self):
+        # Guards against engines that get no long prompt while others have no
+        # limit, and so never tell that theirs has ended.
+        engines = [
+            LIMITED(f'{kind}-{number}', limit, answer, 'llm', stage=stage)
+            for number, limit in enumerate((None, b'1.0'))
+            for kind, answer, stage in (
+                ('p', vm_fleet.prefill, 'prefill'),
+                ('d', vm_fleet.stream, 'decode'),
+            )
+        ]
+        async with vm_fleet.VmFleet(3, *engines) as cluster:
+            request = {'path': '/read/', 'headers': Prompts()}
+            await cluster.call_steadily(FEW_PER_S, 3.0, **request)
+            for engine in engines:
+                engine.limit = None
+            await cluster.call_steadily(FEW_PER_S, 8.0, **request)
+            last_s = time.monotonic()
+            await cluster.call_steadily(
+                FEW_PER_S, vm_fleet.WINDOW_S, **request
+            )
+        for engine in engines[2:]:
+            last = sum(a.moment_s > last_s for a in engine.arrivals)
+            allowed = vm_fleet.allowed_requests(1.0)
+            self.assertGreater(last, allowed, engine.name)
+
     @run
     async def test_new_process_is_not_bound_by_the_one_before(self):
         # Guards against limits that are kept by address or id and outlast
