--- a/src/mangorock/backlog.py
+++ b/src/mangorock/backlog.py
@@ -8,15 +8,21 @@
   can still be in time goes first, so that none is shut out.
 * More prompts than can be in time: late ones are served with what is left,
   since a late answer is worth more to its caller than none.
+* Large prompts, which cannot be in time soon after their arrival: while their
+  sizes are served far less often than all, the next one goes first among its
+  priority, also late (see ``sizes``).
 * Callers that give up: their prompts leave the queue as soon as no engine
   can answer before that.
 * An account that sends more than its share: `fairness.Shares` divides the
   places of one priority, and those of late prompts, among the accounts.
 """
 
+import enum
+
 import attrs
 
 from mangorock import fairness
+from mangorock import sizes
 
 # Of this many prompts assigned in a row, the last goes to the prompt whose
 # latest start comes first, whatever its priority.
@@ -24,13 +30,49 @@
 # A waiting prompt is refused if its wait is predicted to be this many times
 # longer than its caller's, since a prediction may be wrong.
 LOST_WAIT_FACTOR = 1.5
+# Refusals that are kept until they are logged.
+MAX_REFUSALS = 1000
+
+
+class Cause(enum.Enum):
+    """Why a prompt is refused.
+
+    ``HOPELESS`` is one whose turn was predicted too late at its arrival and
+    ``OUTRUN`` while it waited; ``LOST`` cannot be answered any more, and
+    ``DISPLACED`` had its place in the queue taken by another.
+    """
+
+    HOPELESS = 'hopeless'
+    OUTRUN = 'outrun'
+    LOST = 'lost'
+    DISPLACED = 'displaced'
+
+
+@attrs.frozen
+class Refusal:
+    """A prompt that was refused, with what was expected of it.
+
+    ``left_s`` is the time until its caller gives up and ``target_left_s``
+    that until its target; ``waiting`` is the number of prompts that wait.
+    """
+
+    request: str
+    cause: str
+    shared_tokens: int
+    own_tokens: int
+    shortest_s: float
+    cost_s: float
+    target_left_s: float
+    left_s: float
+    waiting: int
 
 
 @attrs.define(eq=False)
 class WaitingPrompt:
     """A prompt at the scheduler that no engine has got yet.
 
-    ``target_at_s`` is when its first event is late, ``gives_up_at_s`` when
+    ``target_at_s`` is when its first event is late, ``waits_until_s`` when it
+    has to come at the latest for prompts that wait, ``gives_up_at_s`` when
     its caller gives up, and ``shortest_s`` the expected time to its first
     event from its assignment to an idle engine.  ``reply(message)`` sends a
     message to the VM that asked.  ``flow`` is the flow whose share it uses,
@@ -44,6 +86,8 @@
     shortest_s: float = 0.0
     cost_s: float = 0.0
     delay_s: float = 0.0
+    waits_until_s: float = float('inf')
+    band: sizes.Band | None = None
     flow: tuple = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -53,18 +97,33 @@
         """Return whether its first event can come before the target."""
         return now + self.shortest_s <= self.target_at_s
 
+    @property
+    def latest_start_s(self):
+        """Return until when it may be assigned.
+
+        A prompt whose prefill is long may wait until its target at least, if
+        its caller waits for it: its size alone is no reason to refuse it.
+        """
+        latest_s = max(self.target_at_s, self.waits_until_s - self.shortest_s)
+        return min(latest_s, self.gives_up_at_s - self.shortest_s)
+
     def is_lost(self, now):
-        """Return whether its first event comes after the caller gives up."""
-        return now + self.shortest_s > self.gives_up_at_s
+        """Return whether it is too late to assign it."""
+        return now > self.latest_start_s
 
 
 @attrs.define
 class Backlog:
-    """The waiting prompts of one service, by request id."""
+    """The waiting prompts of one service, by request id.
+
+    ``refusals`` are those that were not logged yet.
+    """
 
     prompts: dict = attrs.field(factory=dict)
+    refusals: list = attrs.field(factory=list)
     turn: int = 0
     shares: fairness.Shares = attrs.field(factory=fairness.Shares)
+    bands: sizes.Sizes = attrs.field(factory=sizes.Sizes)
 
     def add(self, prompt):
         """Add a prompt; one with the same request id is replaced."""
@@ -90,6 +149,8 @@
         prompt = self.prompts.pop(request_id, None)
         if prompt is not None:
             self.shares.on_leave(prompt.flow, is_served)
+            if is_served is not None and prompt.band is not None:
+                self.bands.on_end(prompt.band, is_served)
         return prompt
 
     def take_lost(self, now):
@@ -97,8 +158,32 @@
         lost = [p for p in self.prompts.values() if p.is_lost(now)]
         for prompt in lost:
             self.remove(prompt.request.request_id, False)
+            self.note_refusal(prompt, Cause.LOST, now)
         return lost
 
+    def note_refusal(self, prompt, cause, now):
+        """Keep a refusal for the log."""
+        if len(self.refusals) >= MAX_REFUSALS:
+            return
+        request = prompt.request
+        refusal = Refusal(
+            request.request_id,
+            cause.value,
+            request.shared_tokens,
+            request.own_tokens,
+            prompt.shortest_s,
+            prompt.cost_s,
+            prompt.target_at_s - now,
+            prompt.gives_up_at_s - now,
+            len(self.prompts),
+        )
+        self.refusals.append(refusal)
+
+    def take_refusals(self):
+        """Return the refusals since the last call."""
+        taken, self.refusals = self.refusals, []
+        return taken
+
     def take_outrun(self, ordered, engine_count, now):
         """Remove and return the prompts whose turn will come too late.
 
@@ -110,6 +195,7 @@
             start_s = now + before_s / engine_count / LOST_WAIT_FACTOR
             if prompt.request.account and prompt.is_lost(start_s):
                 self.remove(prompt.request.request_id, False)
+                self.note_refusal(prompt, Cause.OUTRUN, now)
                 outrun.append(prompt)
             else:
                 before_s += prompt.cost_s
@@ -121,6 +207,7 @@
         displaced = self.shares.displaced(ordered, newcomer)
         if displaced is not None:
             self.remove(displaced.request.request_id, False)
+            self.note_refusal(displaced, Cause.DISPLACED, now)
         return displaced
 
     def ordered(self, now):
@@ -135,9 +222,36 @@
         keys = [_sort_key(prompt, now) for prompt in prompts]
         numbers = sorted(range(len(prompts)), key=keys.__getitem__)
         ordered = [prompts[n] for n in numbers]
-        if not self.shares.levels:
-            return ordered
-        return self.shares.order(ordered, [keys[n][:2] for n in numbers])
+        if self.shares.levels:
+            groups = [keys[n][:2] for n in numbers]
+            ordered = self.shares.order(ordered, groups)
+        return self._by_sizes(ordered, now)
+
+    def _by_sizes(self, prompts, now):
+        """Move the next prompt of each band that is owed one to the front.
+
+        More urgent prompts in time stay before it.
+        """
+        owed = {}
+        for prompt in prompts:
+            if prompt.band is not None and self.bands.is_owed(prompt.band):
+                owed.setdefault(prompt.band, prompt)
+        if not owed:
+            return prompts
+        first = list(owed.values())
+        ordered = [p for p in prompts if p not in first]
+        for prompt in reversed(first):
+            place = sum(
+                p.may_be_in_time(now)
+                and p.request.priority < prompt.request.priority
+                for p in ordered
+            )
+            ordered.insert(place, prompt)
+        return ordered
+
+    def is_owed(self, prompt):
+        """Return whether a prompt goes first for its size, also if late."""
+        return prompt.band is not None and self.bands.is_owed(prompt.band)
 
     def hand_on_position(self, assigned, now):
         """Move the accounts' prompts that an assigned one overtook back.
@@ -198,7 +312,7 @@
         latest_start_s = prompt.target_at_s - prompt.shortest_s
         position_s = latest_start_s + prompt.delay_s
         return 0, prompt.request.priority, position_s
-    return 1, 0, prompt.gives_up_at_s - prompt.shortest_s + prompt.delay_s
+    return 1, 0, prompt.latest_start_s + prompt.delay_s
 
 
 def _with_fair_turn(prompts, now):
