Owe large prompts somewhat more than the share that is due

Cause: a band was owed exactly half of the share of all, counted when prompts are assigned; some of those are lost afterwards. Change: 0.6, as accounts are owed 0.3 where 0.25 is due.

--- a/src/mangorock/sizes.py
+++ b/src/mangorock/sizes.py
@@ -26,9 +26,9 @@
 
 # The bands end at these parts of the recent sizes, the last at the largest.
 BAND_ENDS = (0.7, 0.9)
-# A band is served at least this share as often as all prompts of its kind, as
-# the platform specifies.  Callers that come back raise it further.
-MIN_SERVED_SHARE = 0.5
+# A band is served at least this share as often as all prompts of its kind.
+# The specified minimum is 0.5; some that are assigned are lost afterwards.
+MIN_SERVED_SHARE = 0.6
 # What a band may be ahead before an overload, and how much of its debt is kept
 # after one, in prompts.
 MAX_LEAD, MAX_DEBT = 2.0, 4.0
