Let the scheduler use engines for which a VM has a slot

Callers would see: fewer engines for long prompts, for good, once some of them had a limit for a moment. Cause: each VM told the scheduler to avoid all engines that state a limit. They got no prompt while others had none, and only a response ends a limit. Change: a VM names only the engines for which it has no slot now, so each of its slots is an engine like others to the scheduler. Beside it test_stages failed in test_long_prompts_and_free_slots_add_a_prefill_engine, to be looked at.

--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -210,8 +210,11 @@
         unix_s = time.time()
         return [s for s in untried if rates.may_send(s, unix_s)]
 
-    def limited_ids(self, context):
-        """Return the ids of the untried servers that state limits, sorted."""
+    def ids_at_limit(self, context):
+        """Return the ids of the untried servers that take none now, sorted.
+
+        That is under the limits that they state and the slots of this VM.
+        """
         rates = self.registry.rates
         if not rates.limits:
             return []
@@ -219,7 +222,7 @@
         return sorted(
             server.server_id
             for server in self.untried_servers(context)
-            if rates.is_limited(server, unix_s)
+            if not rates.may_send(server, unix_s)
         )
 
     def healthy_servers(self, service):
--- a/src/mangorock/scheduled_prompt.py
+++ b/src/mangorock/scheduled_prompt.py
@@ -35,9 +35,9 @@
     def may_be_placed(self):
         """Say whether an engine that decodes is left to the scheduler.
 
-        It does not know the slots of this VM under the limits of engines.
+        It gets only those for which this VM has a slot under their limits.
         """
-        avoided = self.gateway.limited_ids(self.context)
+        avoided = self.gateway.ids_at_limit(self.context)
         return not avoided or any(
             not server.is_prefill_only and server.server_id not in avoided
             for server in self.gateway.untried_servers(self.context)
@@ -103,7 +103,7 @@
             / self.service.engine.event_tokens,
             tried=[server_id for server_id, _ in context.tried],
             account=context.account_name,
-            avoided=self.gateway.limited_ids(context),
+            avoided=self.gateway.ids_at_limit(context),
         )
 
     def _resolve_assignment(self, assignment):
