--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -19,6 +19,7 @@
 from mangorock import client as clients
 from mangorock import consultation
 from mangorock import descriptors
+from mangorock import directory as directories
 from mangorock import discovery
 from mangorock import duty_setup
 from mangorock import errors
@@ -174,14 +175,14 @@
         settings = self.settings
         value = b''
         if settings.peer_address is not None:
-            own_peer = consultation.Peer(
+            own_peer = directories.Peer(
                 settings.vm,
                 settings.region,
                 settings.peer_address,
                 settings.capacity,
             )
-            value = consultation.encode_peer(own_peer)
-            self.directory = consultation.Directory(own_peer)
+            value = directories.encode_peer(own_peer)
+            self.directory = directories.Directory(own_peer)
             self._update_directory()
             self.gateway.scheduler_endpoint = consultation.SchedulerEndpoint(
                 self.directory,
@@ -265,7 +266,7 @@
         self.gateway.registry.rates.set_vms(vms)
         if self.directory is None:
             return
-        found = map(consultation.decode_peer, self.vm_items.values())
+        found = map(directories.decode_peer, self.vm_items.values())
         self.directory.update_peers(
             [peer for peer in found if peer is not None]
         )
--- a/src/mangorock/usage_exchange.py
+++ b/src/mangorock/usage_exchange.py
@@ -14,6 +14,7 @@
 
 from mangorock import clocks
 from mangorock import consultation
+from mangorock import directory as directories
 from mangorock import duty_loop
 from mangorock import logs
 from mangorock import membership
@@ -48,7 +49,7 @@
         able = {
             peer.vm: peer
             for peer in peers
-            if peer.capacity >= consultation.MIN_CAPACITY_SHARE * largest
+            if peer.capacity >= directories.MIN_CAPACITY_SHARE * largest
         }
         ranked = membership.rank(duty_loop.SUBJECT, able)
         found += [able[vm] for vm in ranked[:count]]
--- a/tests/test_consultation.py
+++ b/tests/test_consultation.py
@@ -7,6 +7,7 @@
 import curio
 
 from mangorock import consultation
+from mangorock import directory as directories
 from mangorock import membership
 from mangorock import messages
 from mangorock import mirror
@@ -17,14 +18,14 @@
 
 def make_peers(count, region='r'):
     return [
-        consultation.Peer(f'vm{n}', region, ('127.0.0.1', 7000 + n))
+        directories.Peer(f'vm{n}', region, ('127.0.0.1', 7000 + n))
         for n in range(count)
     ]
 
 
 def make_directory(vm, peers):
-    me = consultation.Peer(vm, 'r', ('127.0.0.1', 9))
-    directory = consultation.Directory(me)
+    me = directories.Peer(vm, 'r', ('127.0.0.1', 9))
+    directory = directories.Directory(me)
     directory.update_peers(peers)
     return directory
 
@@ -49,15 +50,15 @@
         directory.on_timeout(first, 0.0)
         second = directory.scheduler_of('s', 0.1)
         self.assertNotEqual(first, second and second.vm)
-        later = consultation.SKIP_S + 0.1
+        later = directories.SKIP_S + 0.1
         self.assertEqual(first, directory.scheduler_of('s', later).vm)
 
     def test_vm_that_returns_is_not_skipped_for_one_lost_datagram(self):
         directory = make_directory('other', make_peers(5))
         first = directory.scheduler_of('s', 0.0).vm
-        for _ in range(consultation.MAX_TIMEOUTS):
+        for _ in range(directories.MAX_TIMEOUTS):
             directory.on_timeout(first, 0.0)
-        later = consultation.SKIP_S + 0.1
+        later = directories.SKIP_S + 0.1
         directory.on_timeout(first, later)
         self.assertEqual(first, directory.scheduler_of('s', later).vm)
 
@@ -76,7 +77,7 @@
 
     def test_small_vms_do_not_schedule(self):
         small = [attrs.evolve(p, capacity=0.4) for p in make_peers(9)]
-        large = consultation.Peer('large', 'r', ('127.0.0.1', 1), 2.0)
+        large = directories.Peer('large', 'r', ('127.0.0.1', 1), 2.0)
         directory = make_directory('vm3', [*small, large])
         self.assertEqual(large, directory.scheduler_of('s', 0.0))
 
@@ -124,13 +125,13 @@
                 consultation.decode(data)
 
     def test_malformed_key_yields_no_peer(self):
-        peer = consultation.Peer('vm3', 'r', ('10.0.0.1', 7000), 2.0)
-        good = consultation.encode_peer(peer)
+        peer = directories.Peer('vm3', 'r', ('10.0.0.1', 7000), 2.0)
+        good = directories.encode_peer(peer)
         item = mirror.Item('mangorock/vms/vm3', good, 1)
-        self.assertEqual(peer, consultation.decode_peer(item))
+        self.assertEqual(peer, directories.decode_peer(item))
         for value in (b'', b'x', b'["r", "no.address", 1]', b'[1]'):
             bad = attrs.evolve(item, value=value)
-            self.assertIsNone(consultation.decode_peer(bad))
+            self.assertIsNone(directories.decode_peer(bad))
 
 
 class MessageExchange(unittest.TestCase):
@@ -142,7 +143,7 @@
             found = {'s': scheduler.Scheduler(test_scheduler.PROFILE)}
             address = '127.0.0.1', ports.free_port()
             first, second = membership.rank('s', ['vm0', 'vm1'])
-            peers = [consultation.Peer(first, 'r', address)]
+            peers = [directories.Peer(first, 'r', address)]
             answering = consultation.SchedulerEndpoint(
                 make_directory(first, peers),
                 found.get,
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 import orjson
 
-from mangorock import consultation
+from mangorock import directory as directories
 from mangorock import mirror
 from tests import fleet
 from tests import test_front
@@ -130,7 +130,7 @@
             nested(1000),
         ):
             item = mirror.Item('mangorock/vms/vm-9', value, 1)
-            self.assertIsNone(consultation.decode_peer(item), value[:80])
+            self.assertIsNone(directories.decode_peer(item), value[:80])
 
 
 if __name__ == '__main__':
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -8,6 +8,7 @@
 import h11
 
 from mangorock import consultation
+from mangorock import directory as directories
 from mangorock import errors
 from mangorock import evidence
 from mangorock import front
@@ -130,9 +131,9 @@
         peers = []
         for found in fronts:
             address = '127.0.0.1', ports.free_port()
-            peer = consultation.Peer(found.settings.vm, 'r', address)
+            peer = directories.Peer(found.settings.vm, 'r', address)
             endpoint = consultation.SchedulerEndpoint(
-                consultation.Directory(peer),
+                directories.Directory(peer),
                 found.gateway.scheduler,
                 found.gateway.healthy_servers,
                 found.gateway.pause,
--- a/tests/test_server_orders.py
+++ b/tests/test_server_orders.py
@@ -11,6 +11,7 @@
 from mangorock import catalog
 from mangorock import consultation
 from mangorock import demand
+from mangorock import directory as directories
 from mangorock import duty_calls
 from mangorock import duty_loop
 from mangorock import fleet_size
@@ -316,14 +317,14 @@
         self.sent = []
         names = [f'vm-{number}' for number in range(1, 6)]
         peers = [
-            consultation.Peer(name, 'r', (f'10.0.0.{index}', 7000))
+            directories.Peer(name, 'r', (f'10.0.0.{index}', 7000))
             for index, name in enumerate(names)
         ]
-        ranked = consultation.membership.rank(duty_loop.SUBJECT, names)
+        ranked = directories.membership.rank(duty_loop.SUBJECT, names)
         # The second in rank.
         self.vm, self.first = ranked[1], ranked[0]
         own = next(peer for peer in peers if peer.vm == self.vm)
-        self.directory = consultation.Directory(own)
+        self.directory = directories.Directory(own)
         self.directory.update_peers(peers)
         self.holder = Holder()
         self.holder.vm = self.vm
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -12,6 +12,7 @@
 from mangorock import bounds
 from mangorock import consultation
 from mangorock import demand
+from mangorock import directory as directories
 from mangorock import duty_calls
 from mangorock import duty_loop
 from mangorock import errors
@@ -125,10 +126,10 @@
         self.world, self.name = world, name
         self.jump_s = jump_s
         peers = [
-            consultation.Peer(vm, 'r', ('10.0.0.1', 1)) for vm in world.names
+            directories.Peer(vm, 'r', ('10.0.0.1', 1)) for vm in world.names
         ]
         own = next(peer for peer in peers if peer.vm == name)
-        directory = consultation.Directory(own)
+        directory = directories.Directory(own)
         directory.update_peers(peers)
         endpoint = types.SimpleNamespace(
             directory=directory,
@@ -406,12 +407,12 @@
         # Guards against counts that never reach a holder of another region.
         names = [f'vm-{n}' for n in range(8)]
         peers = [
-            consultation.Peer(vm, vm[-1] > '3' and 'r' or 'q', ('10.0.0.1', 1))
+            directories.Peer(vm, vm[-1] > '3' and 'r' or 'q', ('10.0.0.1', 1))
             for vm in names
         ]
         found = set()
         for own in peers:
-            directory = consultation.Directory(own)
+            directory = directories.Directory(own)
             directory.update_peers(peers)
             found.add(
                 frozenset(
