--- a/src/mangorock/gateway.py
+++ b/src/mangorock/gateway.py
@@ -22,7 +22,7 @@
 from mangorock import errors
 from mangorock import generation
 from mangorock import ingress
-from mangorock import limited
+from mangorock import limit_refusals
 from mangorock import logs
 from mangorock import outliers as outliers_module
 from mangorock import placement
@@ -298,7 +298,7 @@
         servers = self.eligible_servers(context)
         if not servers:
             until_s = waiting.wait_of_new_request(context).until_s
-            limited.check_any(self, context, until_s)
+            limit_refusals.check_any(self, context, until_s)
             return None
         return self._place_plain(service, servers)
 
--- a/src/mangorock/generation.py
+++ b/src/mangorock/generation.py
@@ -17,7 +17,7 @@
 from mangorock import clocks
 from mangorock import delivery
 from mangorock import events
-from mangorock import limited
+from mangorock import limit_refusals
 from mangorock import messages
 from mangorock import metrics
 from mangorock import placement
@@ -128,7 +128,7 @@
         gateway, context = self.gateway, self.context
         servers = gateway.eligible_servers(context)
         if not servers and not self.relay.reply.is_started:
-            limited.check_any(gateway, context, self._wait().until_s)
+            limit_refusals.check_any(gateway, context, self._wait().until_s)
         return self._place_on(servers)
 
     def _place_on(self, servers):
--- a/src/mangorock/queueing.py
+++ b/src/mangorock/queueing.py
@@ -9,7 +9,7 @@
 
 from mangorock import admission
 from mangorock import errors
-from mangorock import limited
+from mangorock import limit_refusals
 from mangorock import refusals
 from mangorock import waiting
 
@@ -36,7 +36,7 @@
     own_place = place if wait.is_resumed else None
     if not wait.is_resumed:
         ahead = len(queue.waiters)
-        limited.check_turn(gateway, context, wait.until_s, ahead)
+        limit_refusals.check_turn(gateway, context, wait.until_s, ahead)
     now = time.monotonic()
     ticket = queue.add(
         wait.priority, now, wait.until_s, own_place, wait.account
--- a/src/mangorock/rate_limits.py
+++ b/src/mangorock/rate_limits.py
@@ -38,13 +38,12 @@
 
 from mangorock import membership
 
-# Longer than the clocks of the VMs differ, and shorter than callers come back
-# after a refusal.
+# Much longer than the clocks of the VMs differ.
 TURN_S = 5.0
-# A server with a lower limit, or one that states 0, gets so many requests a
-# second, as it says only in responses that its limit has ended.
+# A server that states less, or 0, gets so many requests a second, as it can
+# say only in responses that its limit has ended.
 MIN_PER_S = 1 / 60
-MAX_PER_S = 1e6  # A higher limit is no other.
+MAX_PER_S = 1e6  # Messages between VMs hold no larger figure.
 # VMs that share a server in a turn have this many slots in it on average, so
 # that their requests come more regularly than the turns.
 SLOTS_PER_TURN = 5
@@ -53,7 +52,7 @@
 # A VM that hears from another one that a limit has ended uses the server
 # again after a part of this time.
 RETURN_S = 2.0
-# A smaller change of a limit is not told to the other VMs.
+# A change by a smaller share of a limit is not told to the other VMs.
 NOTABLE_CHANGE = 0.1
 
 
--- a/tests/test_server_orders.py
+++ b/tests/test_server_orders.py
@@ -9,7 +9,6 @@
 from hypothesis import strategies
 
 from mangorock import catalog
-from mangorock import consultation
 from mangorock import demand
 from mangorock import directory as directories
 from mangorock import duty_calls
