Leave requests to the queue that wait for no limit

Callers would see: Retry-After 0 in place of 0.8 to 1.6 s, for a request past its target, while any server of any service states a limit. Cause: a wait of 0 s for a server without a limit, after the time to wait was over, counted as one that comes too late. Change: only a wait for a slot does. Result: the test of OtherServers raised the refusal before and passes.

--- a/src/mangorock/limit_refusals.py
+++ b/src/mangorock/limit_refusals.py
@@ -22,7 +22,7 @@
         return
     servers = _running_servers(gateway, context)
     wait_s = rates.queue_wait_s(servers, ahead, time.time())
-    if time.monotonic() + wait_s > until_s:
+    if wait_s and time.monotonic() + wait_s > until_s:
         gateway.metrics.add('refused_at_server_limit')
         raise refusals.overloaded(context, gateway.spread(wait_s))
 
--- a/tests/test_limited_servers.py
+++ b/tests/test_limited_servers.py
@@ -2,11 +2,15 @@
 
 import time
 import unittest
+from unittest import mock
 
 import curio
 
+from mangorock import limit_refusals
+from mangorock import rate_limits
 from tests import fleet
 from tests import test_front
+from tests import test_rate_limits
 from tests import workers
 
 LIMIT_PER_S = 2.0
@@ -103,5 +107,19 @@
         await self._ask_at_once(engines, 'POST', '/read/', *headers)
 
 
+class OtherServers(unittest.TestCase):
+    """Servers without a limit, while others state one."""
+
+    def test_request_past_its_target_is_left_to_the_queue(self):
+        # It was refused with Retry-After 0, as nothing was to be waited for.
+        limits = rate_limits.RateLimits('vm-1')
+        limited, other = (test_rate_limits.make_server(n) for n in (1, 2))
+        limits.on_told(limited, 2.0, time.time(), 0.0)
+        gateway = mock.Mock()
+        gateway.registry.rates = limits
+        gateway.untried_servers.return_value = [other]
+        limit_refusals.check_turn(gateway, None, time.monotonic() - 1.0, 0)
+
+
 if __name__ == '__main__':
     unittest.main()
