Find the next slot in one step, and rank VMs once a turn

The wait for a slot stepped through the turn, 600,000 steps for a limit of a million, and asked for the owners of two turns in turn, which ranked all VMs anew each time. Change: the slot is computed, and the owners of both turns are kept.

--- a/src/mangorock/rate_limits.py
+++ b/src/mangorock/rate_limits.py
@@ -113,7 +113,7 @@
 
     ``vms`` has the names of all VMs, that of this one included, and is empty
     until they are known; ``vm_count`` of them are assumed then.  ``owners``
-    caches the VMs that have the slots of a server in a turn.
+    caches the VMs that have the slots of a server, by turn.
     """
 
     vm: str = ''
@@ -234,12 +234,14 @@
     def _owners(self, server, known, turn):
         names = self._names()
         count = known.sharers(len(names))
-        cached = self.owners.get(_key(server))
-        if cached is None or cached[:2] != (turn, count):
+        # Of this turn and the next.
+        cached = self.owners.setdefault(_key(server), {})
+        if turn not in cached or cached[turn][0] != count:
+            for old in [t for t in cached if abs(t - turn) > 1]:
+                del cached[old]
             name = f'{server.server_id}/{server.started_ms}/{turn}'
-            owners = membership.rank(name, names)[:count]
-            cached = self.owners[_key(server)] = turn, count, owners
-        return cached[2]
+            cached[turn] = count, membership.rank(name, names)[:count]
+        return cached[turn][1]
 
     def wait_s(self, server, unix_s):
         """Return the time until this VM may send a request, 0 for now.
@@ -256,10 +258,11 @@
             if self.vm not in owners:
                 continue
             begin_s, slot = number * known.turn_s, owners.index(self.vm)
-            while begin_s + slot / per_s <= unix_s:
-                slot += len(owners)
+            passed = (unix_s - begin_s) * per_s - slot
+            if passed >= 0:
+                slot += (int(passed / len(owners)) + 1) * len(owners)
             if slot / per_s < known.turn_s:
-                return begin_s + slot / per_s - unix_s
+                return max(0.0, begin_s + slot / per_s - unix_s)
         vm_count = len(self._names())
         return vm_count / known.sharers(vm_count) * known.turn_s
 
