Log how late the event loop is and which entry of a server was known

Change: loop_delayed and the histogram loop_delay, taken where state is pruned, so without a further wake-up; server_changed has started_ms, sequence and the sequence known before.

--- a/src/mangorock/discovery.py
+++ b/src/mangorock/discovery.py
@@ -49,11 +49,17 @@
 
     def _apply_item(self, item):
         server = self.platform.decode_server(item)
-        if server is not None and self.registry.put(server):
+        if server is None:
+            return
+        known = self.registry.servers.get(server.server_id)
+        if self.registry.put(server):
             logs.event(
                 'server_changed',
                 server=server.server_id,
                 service=server.service,
+                started_ms=server.started_ms,
+                sequence=server.sequence,
+                known_sequence=known.sequence if known else -1,
                 is_draining=server.is_draining,
                 stage=server.stage and server.stage.value,
                 revision=item.revision,
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -42,6 +42,8 @@
 CONNECT_TIMEOUT_S = 0.5  # A hundred round trips between failure domains.
 SEND_TIMEOUT_S = 2.0  # Unacknowledged bytes end a connection after this.
 PRUNE_INTERVAL_S = 0.5
+# Delays of the event loop from which on a pruning that was late is logged.
+LOGGED_DELAY_S = 0.25
 # Interval at which the settings file is read again without a signal.
 SETTINGS_INTERVAL_S = 2.0
 
@@ -345,10 +347,23 @@
     async def _prune(self):
         """Drop ended state and idle connections, forever."""
         while True:
+            due_s = time.monotonic() + PRUNE_INTERVAL_S
             await curio.sleep(PRUNE_INTERVAL_S)
+            self._note_delay(time.monotonic() - due_s)
             self.gateway.forget(time.monotonic())
             await self.client.close_expired()
 
+    def _note_delay(self, delay_s):
+        """Record by how much the event loop is behind."""
+        self.metrics.timing('loop_delay', max(0.0, delay_s))
+        if delay_s >= LOGGED_DELAY_S:
+            logs.warning(
+                'loop_delayed',
+                delay_s=delay_s,
+                register_age_s=time.monotonic()
+                - self.gateway.registry.last_contact_s,
+            )
+
     async def _answer_probe(self, request, responder):
         is_ready = self.is_ready
         if is_ready != self.was_ready:
