Show two ways in which a server that left gets requests

Evidence: both tests fail on the current code, test_older_entry_does_not_bring_a_removed_server_back at its first case, an older sequence of the same start, and test_entry_that_says_so_while_connecting in all three of its cases.

--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -98,6 +98,31 @@
         register.put(make_server('w1', started_ms=2))
         self.assertFalse(register.is_usable(old, 0.0))
 
+    def test_older_entry_does_not_bring_a_removed_server_back(self):
+        # The entries of a server are delivered out of order at times.
+        register = registry.Registry()
+        register.put(make_server('w1', started_ms=5, sequence=8))
+        register.put(
+            make_server('w1', started_ms=5, sequence=9, is_draining=True)
+        )
+        register.remove('w1', 10.0)
+        register.purge_lapsed(10.1 + registry.LAPSE_GRACE_S)
+        for started_ms, sequence in ((5, 8), (5, 9), (4, 20)):
+            older = make_server('w1', started_ms=started_ms, sequence=sequence)
+            register.put(older)
+            self.assertFalse(register.is_usable(older, 20.0))
+            self.assertEqual([], register.candidates('s', 20.0))
+
+    def test_removed_server_is_back_with_a_newer_entry(self):
+        for started_ms, sequence in ((5, 10), (6, 0)):
+            register = registry.Registry()
+            register.put(make_server('w1', started_ms=5, sequence=9))
+            register.remove('w1', 10.0)
+            register.purge_lapsed(10.1 + registry.LAPSE_GRACE_S)
+            newer = make_server('w1', started_ms=started_ms, sequence=sequence)
+            self.assertTrue(register.put(newer))
+            self.assertTrue(register.is_usable(newer, 20.0))
+
 
 class EventStreams(unittest.TestCase):
     """Only complete events are passed on, in order and without gaps."""
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -114,6 +114,21 @@
     return availability_of(cluster).is_leaving(found)
 
 
+def change_entry(cluster, worker, kind):
+    """Change what the registry has of a worker, as `kind` says."""
+    register = cluster.front.gateway.registry
+    known = register.server_at(worker.address)
+    match kind:
+        case 'draining':
+            register.put(attrs.evolve(known, is_draining=True))
+        case 'removed':
+            register.remove(known.server_id, 0.0)
+            register.purge_lapsed(time.monotonic())
+        case 'restarted':
+            newer_ms = known.started_ms + 1
+            register.put(attrs.evolve(known, started_ms=newer_ms))
+
+
 class LeavingServers(unittest.TestCase):
     """Each kind of response tells, and nothing is sent afterwards."""
 
@@ -325,6 +340,28 @@
             exchange, _ = await cluster.request('POST', '/place/', body=b'o')
         self.assertEqual((503, 0), (exchange.status, len(worker.received)))
 
+    @run
+    async def test_entry_that_says_so_while_connecting_is_obeyed(self):
+        for kind in ('draining', 'removed', 'restarted'):
+            worker = workers.Worker('w1', 'desk', workers.whole_response)
+            async with fleet.Fleet(worker) as cluster:
+                client = cluster.front.client
+                open_exchange = client.open
+
+                async def open_slowly(address, **options):
+                    exchange = await open_exchange(address, **options)
+                    if address == worker.address:
+                        change_entry(cluster, worker, kind)
+                    return exchange
+
+                client.open = open_slowly
+                exchange, _ = await cluster.request(
+                    'POST', '/place/', body=b'o'
+                )
+            with self.subTest(kind):
+                self.assertEqual(0, len(worker.received))
+                self.assertEqual(503, exchange.status)
+
     @run
     async def test_no_request_sent_after_the_bound_arrives(self):
         # Twenty callers send without a pause while the server leaves.  Both
