Keep what is known of a server beyond the removal of its entry

Cause: the registry compared an entry only with one that it still had, and dropped that 1.5 s after its removal; an equal entry also ended the lapse before that. So an older copy, which a listing whose pages are read while entries change, a late answer or a restored store may bring, named a ready server again. Class: knowledge that is dropped with the entry it came from. Change: the last entry of a removed server is remembered, 4096 of them at most, and only a newer one brings the server back. Elsewhere: statements in responses are kept for good already (availability.leaving).

--- a/src/mangorock/registry.py
+++ b/src/mangorock/registry.py
@@ -4,7 +4,9 @@
 read with a delay.  `Registry` handles these cases:
 
 - An entry of an earlier incarnation, or an older entry of the current one,
-  arrives after a newer entry: it is ignored.
+  arrives after a newer entry: it is ignored.  After the server's entry was
+  removed, a copy of the last one is ignored as well: only a server that is
+  still there writes a newer one.
 - Entries lapse while the store is unavailable and are written again a moment
   later: a lapsed server stays usable for `LAPSE_GRACE_S` if its service has
   no other server.
@@ -28,6 +30,9 @@
 # continues to serve, so that the fallback to lapsed servers never selects one
 # that has terminated.
 LAPSE_GRACE_S = 1.5
+# Removed servers whose last entry is remembered; the oldest are dropped beyond
+# this number.
+MAX_REMOVED = 4096
 
 
 class Stage(enum.Enum):
@@ -76,11 +81,14 @@
     """The newest entry of each server; a state machine without I/O.
 
     ``last_contact_s`` is the time of the last answer from the registry.
+    ``removed`` has the last entries of servers that are no longer known, the
+    oldest removal first.
     """
 
     servers: dict = attrs.field(factory=dict)
     lapsed_since_s: dict = attrs.field(factory=dict)
     paused: dict = attrs.field(factory=dict)
+    removed: dict = attrs.field(factory=dict)
     last_contact_s: float = 0.0
     availability: availabilities.Availability = attrs.field(
         factory=availabilities.Availability
@@ -92,10 +100,20 @@
         known = self.servers.get(server.server_id)
         if known is not None and _is_older(server, known):
             return False
+        if self._is_known_to_be_removed(server):
+            return False
+        self.removed.pop(server.server_id, None)
         self.servers[server.server_id] = server
         self.lapsed_since_s.pop(server.server_id, None)
         return server != known
 
+    def _is_known_to_be_removed(self, server):
+        """Say whether the entry is not newer than one that was removed."""
+        last = self.removed.get(server.server_id)
+        if server.server_id in self.lapsed_since_s:
+            last = self.servers[server.server_id]
+        return last is not None and not _is_older(last, server)
+
     def remove(self, server_id, now):
         """Mark a server as lapsed at ``now`` as its entry was removed."""
         if server_id in self.servers:
@@ -153,8 +171,10 @@
         ]
         for server_id in purged_ids:
             del self.lapsed_since_s[server_id]
-            del self.servers[server_id]
+            self.removed[server_id] = self.servers.pop(server_id)
             self.paused.pop(server_id, None)
+        while len(self.removed) > MAX_REMOVED:
+            del self.removed[next(iter(self.removed))]
         self.availability.forget(self.servers.values(), now)
         self.rates.forget(self.servers.values())
         return purged_ids
