Ask the registry again when the connection is open

Cause: directly before the first byte only the server's own statements were asked for, not its entry, while connecting takes up to 0.5 s and its turn. Class: checked once, sent later. Change: the one check before each write, of first sends, repeats, prefills, decodes and resumptions, asks the registry, which asks for the statements too. Elsewhere: orders and probes ask after their last wait already, the configuration is read once a request, after it was read whole. Evidence: test_entry_that_says_so_while_connecting_is_obeyed failed in 3 of 3 cases before and passes; 110 tests of sending pass.

--- a/src/mangorock/sending.py
+++ b/src/mangorock/sending.py
@@ -204,17 +204,15 @@
         except BaseException:
             self._release_server(dispatch)
             raise
-        # Connecting takes up to some seconds, in which another response may
-        # have told that the server wants no requests.
+        # Connecting takes up to some seconds, in which the registry or another
+        # response may have told that the server wants no requests.
         if not self._wants_requests(dispatch.server):
             await self._close_exchange(exchange, dispatch)
             return Unsent(UNWANTED)
         return exchange
 
     def _wants_requests(self, server):
-        return self.registry.availability.wants_requests(
-            server, time.monotonic()
-        )
+        return self.registry.is_usable(server, time.monotonic())
 
     def _wants_calls(self, server):
         """Say whether a server may get calls that callers do not need."""
