Log calls whose answer is read slowly, and smaller delays of the loop

Whether the loop, the link or the store is slow was not to be seen. Change: answer_slow with bytes, reads and times; loop_delayed from 0.1 s on.

--- a/src/mangorock/client.py
+++ b/src/mangorock/client.py
@@ -6,6 +6,7 @@
 """
 
 import socket
+import time
 
 import curio
 import curio.errors
@@ -15,9 +16,13 @@
 from mangorock import buffers
 from mangorock import connection_pool
 from mangorock import exchange as exchanges
+from mangorock import logs
 from mangorock import sockets
 from mangorock import turns
 
+# Calls whose answer takes longer to connect and read than this are logged.
+SLOW_ANSWER_S = 0.5
+
 
 class Client:
     """Opens exchanges to addresses (``'IP:port'``) and pools connections.
@@ -156,11 +161,16 @@
         Each call has a connection to itself: the answer bears no id, so on a
         shared one it could be the late answer to an earlier call.
         """
+        begun_s = time.monotonic()
         exchange = await self.open(address, new_connection=True)
         try:
+            opened_s = time.monotonic()
             await exchange.send(method, path, headers, body)
             self.on_response(address, exchange.status, exchange.raw_headers)
-            return exchange.status, await exchange.read()
+            head_s = time.monotonic()
+            data = await exchange.read()
+            _log_slow(address, path, exchange, data, begun_s, opened_s, head_s)
+            return exchange.status, data
         finally:
             await self.discard(exchange)
 
@@ -168,3 +178,18 @@
         """Close all pooled connections."""
         for connection in self.pool.take_all():
             await self._close(connection.sock)
+
+
+def _log_slow(address, path, exchange, data, begun_s, opened_s, head_s):
+    """Log a call that took long, apart from the wait for its answer."""
+    connect_s, body_s = opened_s - begun_s, time.monotonic() - head_s
+    if connect_s + body_s > SLOW_ANSWER_S:
+        logs.event(
+            'answer_slow',
+            server=address,
+            path=path.partition('?')[0],
+            bytes=len(data),
+            reads=exchange.reads,
+            connect_s=connect_s,
+            body_s=body_s,
+        )
--- a/src/mangorock/exchange.py
+++ b/src/mangorock/exchange.py
@@ -61,6 +61,7 @@
         self.raw_headers = []
         self.request = None
         self.write_task = None
+        self.reads = 0
         self.body = bytearray()
 
     async def send(self, method, path, headers, body):
@@ -176,6 +177,7 @@
                 await turn.end()
             if self.needs_data:
                 conn.receive_data(await self.sock.recv(READ_BYTES))
+                self.reads += 1
                 self.needs_data = False
             event = conn.next_event()
             turn.count()
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -43,7 +43,7 @@
 SEND_TIMEOUT_S = 2.0  # Unacknowledged bytes end a connection after this.
 PRUNE_INTERVAL_S = 0.5
 # Delays of the event loop from which on a pruning that was late is logged.
-LOGGED_DELAY_S = 0.25
+LOGGED_DELAY_S = 0.1
 # Interval at which the settings file is read again without a signal.
 SETTINGS_INTERVAL_S = 2.0
 
