List the keys that change faster than a watch returns them

Cause: a watch returns every change, also those that later ones of the same key replaced, so that a VM behind a busy link that is late has more to receive and gets later. Class: catching up that costs more the further one is behind. Change: after an answer with replaced changes the mirror lists the prefix, each value once, until those keys rest.

--- a/src/mangorock/mirror.py
+++ b/src/mangorock/mirror.py
@@ -14,6 +14,12 @@
 was lost.  `Timing` therefore bounds every wait by the time after which the
 mirror must be up to date again.
 
+A watch returns every change, also those that a later one of the same key
+replaced.  Where a large value changes in quick succession, what a VM has to
+receive would grow with the number of changes, and on a busy link the time to
+receive it with it.  So after an answer with replaced changes the prefix is
+listed, which returns each value once, until those keys rest.
+
 `follow` is the loop that makes the calls.
 """
 
@@ -52,6 +58,8 @@
 # Part of the delay after an event that follows one of keys without interest: a
 # change that is of interest must not wait for it.
 OTHER_KEYS_PART = 0.125
+# Part of it between two listings while keys change in quick succession.
+POLL_PART = 0.5
 
 
 @attrs.frozen
@@ -176,7 +184,8 @@
     What it has is at least as new as the store was at ``confirmed_s``, the
     time at which a call that was answered had been sent.  Times are of
     `clocks.boot_clock`.  Only events under ``batched_prefixes`` are followed
-    by others of interest, for which the next watch is delayed.
+    by others of interest, for which the next watch is delayed.  ``polled``
+    has the keys that change in quick succession, with their revisions.
     """
 
     prefix: str
@@ -192,6 +201,7 @@
     confirmed_s: float = float('-inf')
     listed: list = attrs.field(factory=list)
     backoff_s: float = 0.0
+    polled: dict = attrs.field(factory=dict)
 
     def next_call(self):
         """Return the next call, a `ListPage` or a `Watch`."""
@@ -224,10 +234,26 @@
         self.revision = self.first_page_revision
         self.confirmed_s = self.first_page_sent_s
         self._reset_listing()
-        self.is_listing = False
+        self._drop_resting(listing)
+        self.is_listing = bool(self.polled)
         self.is_synced = True
         return listing
 
+    def _drop_resting(self, listing):
+        """Poll only the keys that have changed since the last look."""
+        if not self.polled:
+            return
+        revisions = {
+            item.key: item.revision
+            for item in listing
+            if item.key in self.polled
+        }
+        self.polled = {
+            key: revision
+            for key, revision in revisions.items()
+            if revision != self.polled[key]
+        }
+
     def on_changes(self, changes, sent_s=0.0):
         """Advance the revision past the events of a watch and return them.
 
@@ -241,6 +267,8 @@
         for event in changes.events:
             self.revision = max(self.revision, event.revision)
         self.confirmed_s = sent_s
+        self.polled = _find_replaced(changes.events)
+        self.is_listing = bool(self.polled)
         self.is_batch_over = not any(
             event.key.startswith(self.batched_prefixes)
             for event in changes.events
@@ -250,6 +278,8 @@
     def batch_delay_s(self, jitter):
         """Return the delay after an event; ``jitter`` is in [0, 1)."""
         delay_s = self.timing.batch_delay_s * (0.5 + 0.5 * jitter)
+        if self.polled:
+            return POLL_PART * delay_s
         return OTHER_KEYS_PART * delay_s if self.is_batch_over else delay_s
 
     def on_history_lost(self):
@@ -273,6 +303,16 @@
         self.listed = []
 
 
+def _find_replaced(events):
+    """Return the newest revision of each key that changed repeatedly."""
+    revisions, replaced = {}, {}
+    for event in events:
+        if event.key in revisions:
+            replaced[event.key] = event.revision
+        revisions[event.key] = event.revision
+    return replaced
+
+
 async def follow(mirror, store, on_listing, on_events, rng):
     """Make the calls of ``mirror`` in an endless loop.
 
@@ -296,7 +336,7 @@
                     away_s=away_s,
                 )
                 unavailable_since_s = None
-            if events:
+            if events or mirror.polled:
                 await curio.sleep(mirror.batch_delay_s(rng.random()))
         except HistoryLost:
             logs.event(
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -214,5 +214,91 @@
         self.assertEqual(mirror.MIN_BACKOFF_S, driver.mirror.on_failure(1.0))
 
 
+class NarrowLink:
+    """Follows a store through a link that carries few bytes a second.
+
+    A key of ``value_bytes`` changes every ``gap_s`` until ``end_s``, and each
+    byte that the store sends takes its time.
+    """
+
+    VALUE_BYTES = 80_000
+    OTHER_BYTES = 30_000
+    GAP_S = 0.4
+    END_S = 12.0
+    SILENT_S = 0.05
+
+    def __init__(self, bytes_per_s):
+        self.bytes_per_s = bytes_per_s
+        self.mirror = mirror.Mirror('', mirror.make_timing(4.0, 3.0))
+        self.now = 0.0
+        self.received = []
+        self.listings = 0
+
+    def count_made(self, now):
+        """Return how many changes were made by then."""
+        return int(min(now, self.END_S) / self.GAP_S)
+
+    def step(self):
+        """Make one call, and note when which change was received."""
+        call = self.mirror.next_call()
+        self.now += self.SILENT_S
+        match call:
+            case mirror.ListPage():
+                made = self.count_made(self.now)
+                self.now += (
+                    self.VALUE_BYTES + self.OTHER_BYTES
+                ) / self.bytes_per_s
+                item = mirror.Item('op/config', b'', made + 1)
+                self.mirror.on_page(mirror.Page((item,), False, made + 1))
+                count = self.mirror.is_listing
+                self.listings += 1
+            case mirror.Watch():
+                known = call.revision - 1
+                until_s = self.now + call.wait_s
+                while self.count_made(self.now) <= known:
+                    if self.now >= until_s:
+                        break
+                    self.now += 0.01
+                made = self.count_made(self.now)
+                count = made - known
+                self.now += count * self.VALUE_BYTES / self.bytes_per_s
+                events = tuple(
+                    mirror.Item('op/config', b'', number + 1)
+                    for number in range(known + 1, made + 1)
+                )
+                self.mirror.on_changes(mirror.Changes(events, made + 1))
+        self.received.append((self.now, made))
+        if count:
+            self.now += self.mirror.batch_delay_s(0.99)
+
+    def find_latest(self):
+        """Return the longest time from a change until it was received."""
+        while self.now < self.END_S + 5.0:
+            self.step()
+        latest_s = 0.0
+        for number in range(1, self.count_made(self.END_S) + 1):
+            received_s = min(s for s, made in self.received if made >= number)
+            latest_s = max(latest_s, received_s - number * self.GAP_S)
+        return latest_s
+
+
+class QuickChanges(unittest.TestCase):
+    """A large value that changes faster than a busy link carries changes."""
+
+    def test_changes_in_quick_succession_are_known_in_time(self):
+        # Guards against receiving each change that a later one replaced.
+        for bytes_per_s in (1_000_000, 250_000, 150_000):
+            with self.subTest(bytes_per_s=bytes_per_s):
+                latest_s = NarrowLink(bytes_per_s).find_latest()
+                self.assertLess(latest_s, 3.0)
+
+    def test_single_changes_are_watched(self):
+        # Guards against listings where a watch returns no less.
+        link = NarrowLink(1_000_000)
+        link.GAP_S = 2.0
+        link.find_latest()
+        self.assertEqual(1, link.listings)
+
+
 if __name__ == '__main__':
     unittest.main()
