Show what a store that comes back from an older copy breaks

Callers would see: orders of two VMs at once, usage that is reported twice, parts of prompts that crash engines served again. The stand-in store restores copies and tells its era.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -107,6 +107,18 @@
     return config
 
 
+class EraResponder:
+    """Adds the era of the store to each answer."""
+
+    def __init__(self, store, responder):
+        self.store, self.responder = store, responder
+
+    async def respond(self, status, body):
+        """Send a complete response."""
+        headers = [('store-era', str(self.store.era))]
+        await self.responder.respond(status, body, headers)
+
+
 class Store:
     """Stand-in of the platform's store with listing, watches and faults."""
 
@@ -116,6 +128,7 @@
         self.events = []
         self.revision = 1
         self.compacted_revision = 0
+        self.era = 1
         self.status = 200
         self.answer = None
         self.is_silent = False
@@ -160,7 +173,23 @@
         self.compacted_revision = self.revision
         self.events = []
 
+    def take_copy(self):
+        """Return what `restore` brings back."""
+        return types.SimpleNamespace(
+            items=dict(self.items),
+            revision=self.revision,
+            last_lease=self.last_lease,
+        )
+
+    def restore(self, copy):
+        """Lose all that was written since a copy was taken."""
+        self.items, self.events = dict(copy.items), []
+        self.revision = self.compacted_revision = copy.revision
+        self.last_lease = copy.last_lease
+        self.era += 1
+
     async def _handle(self, request, responder):
+        responder = EraResponder(self, responder)
         await self._lose_if_silent()
         if request.method == 'POST':
             return await self._write(request, responder)
@@ -218,7 +247,7 @@
         after = int(query['after'])
         end_s = await curio.clock() + int(query['waitMs']) / 1000
         while True:
-            if after < self.compacted_revision:
+            if not self.compacted_revision <= after <= self.revision:
                 return await responder.respond(410, b'')
             if self.answer is not None:
                 return await responder.respond(200, self.answer)
