Take the era of the store into each position and lease

Callers would see: orders of two VMs for one engine, a VM that is counted no more and sends and retries as if it were alone. Class: a number that is unique in one history only. Change: a position has the era above the revision, made where the header is read; answers of an earlier era are none, a watch from one lists anew, a lease of one is lost, also where its id is accepted. No VM orders before the leases of the earlier era have run out, as it sees it; those that hold one stop at once or half a lease after their last renewal. Own keys are written anew within 0.5 s, and watches that hang are opened anew.

--- a/src/mangorock/client.py
+++ b/src/mangorock/client.py
@@ -156,7 +156,14 @@
             return await self.call_once(address, method, path, headers, body)
 
     async def call_once(self, address, method, path, headers=(), body=b''):
-        """Like `call`, but never send the request twice.
+        """Like `call`, but never send the request twice."""
+        status, _, data = await self.fetch(
+            address, method, path, headers, body
+        )
+        return status, data
+
+    async def fetch(self, address, method, path, headers=(), body=b''):
+        """Send a request once; return (status, raw headers, body).
 
         Each call has a connection to itself: the answer bears no id, so on a
         shared one it could be the late answer to an earlier call.
@@ -170,7 +177,7 @@
             head_s = time.monotonic()
             data = await exchange.read()
             _log_slow(address, path, exchange, data, begun_s, opened_s, head_s)
-            return exchange.status, data
+            return exchange.status, exchange.raw_headers, data
         finally:
             await self.discard(exchange)
 
--- a/src/mangorock/front.py
+++ b/src/mangorock/front.py
@@ -99,6 +99,7 @@
         self.store = None
         self.directory = None
         self.vm_items = {}
+        self.has_new_era = curio.Event()
         self.usage_exchange = None
         self.tasks = []
         self.subscription = None
@@ -208,6 +209,7 @@
             value,
             self.rng,
             self.gateway.budgets.share,
+            self.has_new_era,
         )
         await self.spawn(
             presence.count_vms,
@@ -346,12 +348,17 @@
 
     async def _prune(self):
         """Drop ended state and idle connections, forever."""
+        era = self.store.eras.era
         while True:
             due_s = time.monotonic() + PRUNE_INTERVAL_S
             await curio.sleep(PRUNE_INTERVAL_S)
             self._note_delay(time.monotonic() - due_s)
             self.gateway.forget(time.monotonic())
             await self.client.close_expired()
+            if self.store.eras.era != era:
+                era = self.store.eras.era
+                await self.has_new_era.set()
+                await self.subscription.follow_era(era)
 
     def _note_delay(self, delay_s):
         """Record by how much the event loop is behind."""
--- a/src/mangorock/leadership.py
+++ b/src/mangorock/leadership.py
@@ -1,7 +1,7 @@
 """The right of one VM at a time to give orders, held through a lease.
 
 The right is a key in the platform's store that exists only while its lease is
-renewed, and whose revision is the fencing token of every order.  It is never
+renewed, and whose position is the fencing token of every order.  It is never
 released early, so that the orders of two leaders are never close together,
 also where nobody checks the token.
 
@@ -87,7 +87,9 @@
     """Acquires and renews the leadership of one matter.
 
     ``key`` is the key in ``store`` whose holder is the leader.  ``fields``
-    are added to the log events.
+    are added to the log events.  ``store.eras`` are its `eras.Eras`: a lease
+    of an earlier era is lost, and no order is sent before the leases of all
+    other VMs in that era have run out.
 
     Example::
 
@@ -105,6 +107,7 @@
     clock: object = clocks.boot_clock
     events: Events = attrs.field(factory=Events)
     fields: dict = attrs.field(factory=dict)
+    era: int = 0
 
     @property
     def fence(self):
@@ -118,7 +121,12 @@
 
     def may_act(self):
         """Return whether an order may be sent now."""
-        return self.leadership.may_order(self.clock())
+        eras, now = self.store.eras, self.clock()
+        return (
+            self.era == eras.era
+            and eras.may_lead(self.leadership.lease_s, now)
+            and self.leadership.may_order(now)
+        )
 
     def lose(self):
         """Give the leadership up, as another VM has a higher token."""
@@ -129,7 +137,9 @@
         leadership = self.leadership
         if leadership.lease is None:
             return
-        if leadership.is_expired(self.clock()):
+        if self.era != self.store.eras.era:
+            self._on_lost()
+        elif leadership.is_expired(self.clock()):
             if self.fence is not None:
                 logs.event(self.events.over, **self.fields, fence=self.fence)
             leadership.lose()
@@ -152,6 +162,7 @@
         if leadership.lease is None:
             sent_s = self.clock()
             lease = await self.store.grant_lease(leadership.lease_s)
+            self.era = self.store.eras.era
             leadership.begin(lease, sent_s)
             value = f'{self.vm} {lease}'.encode()
             try:
--- a/src/mangorock/mirror.py
+++ b/src/mangorock/mirror.py
@@ -9,6 +9,9 @@
 that never receives the events that it missed.  Failures are retried with
 exponential backoff.
 
+Revisions are positions (`eras.make_position`), so that those of a store that
+was restored from an older copy are not taken for those before.
+
 The store may stop responding to this VM at any moment, while it accepts
 changes from others, and nothing tells a watch without events from one that
 was lost.  `Timing` therefore bounds every wait by the time after which the
@@ -29,6 +32,7 @@
 import curio
 
 from mangorock import clocks
+from mangorock import eras
 from mangorock import errors
 from mangorock import logs
 
@@ -115,7 +119,7 @@
 
 @attrs.frozen
 class Item:
-    """A key with its value in bytes and the revision that wrote it."""
+    """A key with its value in bytes and the position that wrote it."""
 
     key: str
     value: bytes
@@ -124,7 +128,7 @@
 
 @attrs.frozen
 class Removal:
-    """A key that was removed at ``revision``."""
+    """A key that was removed at the position ``revision``."""
 
     key: str
     revision: int
@@ -220,10 +224,17 @@
     def on_page(self, page, sent_s=0.0):
         """Add a page; return the whole listing after the last page.
 
-        ``sent_s`` is when the call was sent.
+        ``sent_s`` is when the call was sent.  A page of a later era than the
+        first one starts the listing anew.
         """
         self.backoff_s = 0.0
-        if self.first_page_revision is None:
+        first = self.first_page_revision
+        if first is not None and eras.era_of(first) != eras.era_of(
+            page.revision
+        ):
+            self.on_history_lost()
+            return None
+        if first is None:
             self.first_page_revision = page.revision
             self.first_page_sent_s = sent_s
         self.listed += page.items
--- a/src/mangorock/presence.py
+++ b/src/mangorock/presence.py
@@ -131,10 +131,11 @@
         return 1.0 / max(vms for _, vms in self.counts)
 
 
-async def announce(store, vm, value, rng, share):
+async def announce(store, vm, value, rng, share, has_new_era):
     """Keep this VM's key alive in an endless loop; ``value`` is bytes.
 
-    ``share`` is the `SlackShare` that depends on it.
+    ``share`` is the `SlackShare` that depends on it.  The event
+    ``has_new_era`` has the key written anew at once.
     """
     lease = None
     while True:
@@ -157,7 +158,10 @@
         except errors.MangorockError as exc:
             # The mirrors log that the store is unavailable.
             logs.debug('presence_not_renewed', error=exc.message)
-        await curio.sleep(RENEW_S * (0.75 + 0.5 * rng.random()))
+        pause_s = RENEW_S * (0.75 + 0.5 * rng.random())
+        async with curio.ignore_after(pause_s):
+            await has_new_era.wait()
+        has_new_era.clear()
 
 
 async def count_vms(store, counter, on_count, rng):
--- a/src/mangorock/subscription.py
+++ b/src/mangorock/subscription.py
@@ -16,6 +16,7 @@
 import attrs
 import curio
 
+from mangorock import eras
 from mangorock import errors
 from mangorock import logs
 from mangorock import mirror
@@ -87,10 +88,27 @@
     async def restart(self):
         """List all keys now, as the open watches wait at another store."""
         await self.close()
+        self.mirrors = []
+        await self.start()
+
+    async def follow_era(self, era):
+        """List all keys now if the open watches are of an earlier era.
+
+        A watch that was lost in the change of the era would tell it late.
+        """
+        if not self.mirrors or eras.era_of(self.revision) >= era:
+            return
+        if any(found.is_listing for found in self.mirrors):
+            return
+        logs.event('store_followed_anew', era=era)
+        await self.close()
+        for found in self.mirrors:
+            found.on_history_lost()
         await self.start()
 
     async def _run(self):
-        self.mirrors = await self._open()
+        if not self.mirrors:
+            self.mirrors = await self._open()
         for found in self.mirrors[1:]:
             task = await curio.spawn(self._follow, found, daemon=True)
             self.tasks.append(task)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -17,6 +17,7 @@
 from mangorock import bounds
 from mangorock import budget
 from mangorock import client
+from mangorock import eras
 from mangorock import front
 from mangorock import http
 from mangorock import presence
@@ -340,7 +341,7 @@
         """
         front, newest = self.front, self.store.revision
         async with curio.timeout_after(self.settings.config_s):
-            while front.subscription.revision < newest:
+            while eras.revision_of(front.subscription.revision) < newest:
                 await curio.sleep(0.01)
 
     def request_headers(self, *extra_headers):
--- a/tests/test_server_orders.py
+++ b/tests/test_server_orders.py
@@ -13,6 +13,7 @@
 from mangorock import directory as directories
 from mangorock import duty_calls
 from mangorock import duty_loop
+from mangorock import eras
 from mangorock import fleet_size
 from mangorock import leadership
 from mangorock import messages
@@ -374,7 +375,11 @@
         # Guards against orders of a VM that woke after another took over.
         now = [100.0]
         held = leadership.make_lease_holder(
-            'vm-1', 'k', 6.0, None, clock=lambda: now[0]
+            'vm-1',
+            'k',
+            6.0,
+            types.SimpleNamespace(eras=eras.Eras()),
+            clock=lambda: now[0],
         )
         held.leadership.begin('l1', 100.0)
         held.leadership.acquire(41)
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -11,6 +11,7 @@
 import orjson
 
 from mangorock import engines
+from mangorock import eras
 from mangorock import errors
 from mangorock import leadership
 from mangorock import mirror
@@ -253,6 +254,7 @@
         self.item = None
         self.is_unavailable = False
         self.delayed = []
+        self.eras = eras.Eras()
 
     def apply_delayed(self):
         """Apply the delayed calls, and drop what has expired."""
