Store a quarantine anew that a restored store lacks

Callers would see: prompts that crash engines served again, and streams of others cut off by the crashes. Cause: a key that a listing lacks counted as removed by an operator if its revision was not above the listing's. Class: absence taken for a decision. Change: only a listing of the same era shows a removal; after one of a later era the VMs that know the part store it again. Evidence: test_lost_quarantine_is_not_lifted failed before and passes.

--- a/src/mangorock/isolation.py
+++ b/src/mangorock/isolation.py
@@ -338,6 +338,11 @@
         for part_id in self.quarantine.removed(listed, revision):
             self.quarantine.lift(part_id)
             self._log_lifted(part_id, 'store')
+        for part_id in self.quarantine.lost(listed, revision):
+            logs.event('quarantine_stored_anew', part=part_id)
+            await curio.spawn(
+                self._keep_storing, part_id, STORE_OTHERS_DELAY_S, daemon=True
+            )
         for part_id, item in listed.items():
             term_s = decode_term(item)
             if term_s is None:
--- a/src/mangorock/quarantine.py
+++ b/src/mangorock/quarantine.py
@@ -18,6 +18,7 @@
 
 import attrs
 
+from mangorock import eras
 from mangorock import evidence as evidences
 
 MAX_QUARANTINED_PARTS = 256
@@ -55,8 +56,8 @@
 class Term:
     """The time until which a part is refused.
 
-    ``revision`` is that of its key in the platform's store, None if it is
-    not known to be there.
+    ``revision`` is the position of its key in the platform's store, None if
+    it is not known to be there.
     """
 
     until_s: float
@@ -220,7 +221,8 @@
     def removed(self, listed, revision):
         """Return the parts whose keys were removed before a listing.
 
-        A listing that is older than the key does not show that.
+        A listing that is older than the key does not show that, nor does one
+        of a later era: the copy of the store may lack the key.
         """
         return [
             part_id
@@ -228,8 +230,25 @@
             if part_id not in listed
             and term.revision is not None
             and term.revision <= revision
+            and eras.era_of(term.revision) == eras.era_of(revision)
         ]
 
+    def lost(self, listed, revision):
+        """Return the parts whose keys a listing of a later era lacks.
+
+        Their keys are to be stored again.
+        """
+        lost = []
+        for part_id, term in self.quarantined.items():
+            if (
+                part_id not in listed
+                and term.revision is not None
+                and eras.era_of(term.revision) < eras.era_of(revision)
+            ):
+                term.revision = None
+                lost.append(part_id)
+        return lost
+
     def lift(self, part_id):
         """Serve a part again; return whether it was refused."""
         if self.quarantined.pop(part_id, None) is None:
