Report no window of usage again that may have been reported

Operators would see: two reports of one window with different counts. Class: a record that only grows, read from a store that goes back. Change: a report has the era in which it was written; after one of an earlier era, windows that ended before the era was noticed are not reported, and counted as missed.

--- a/src/mangorock/usage_reports.py
+++ b/src/mangorock/usage_reports.py
@@ -4,12 +4,18 @@
 the store by compare-and-swap and only then sends it.  The windows in that key
 only grow, so that no two reports of a window differ and no earlier one follows
 a later one.  A successor first sends what it finds there once more.
+
+A store that was restored from an older copy has an older report than the last
+one.  Which windows were reported after it, and with which counts, is not known
+then.  So a report has the era in which it was written, and after one of an
+earlier era none of a window follows that may have been reported in that era.
 """
 
 import attrs
 import orjson
 
 from mangorock import duty_calls
+from mangorock import eras as store_eras
 from mangorock import errors
 from mangorock import logs
 from mangorock import usage
@@ -22,18 +28,20 @@
 
 @attrs.frozen
 class Stored:
-    """The report that the store's key has, with the key's revision.
+    """The last window that may have been reported, and the key's position.
 
-    ``revision`` is 0 and ``window`` None where there is no key yet.
+    ``revision`` is 0 where there is no key yet, and ``window`` None where
+    there was no report.
     """
 
     revision: int
     window: int | None
 
 
-def encode_report(report):
+def encode_report(report, era=0):
     """Return the value of the store's key for a `duty_calls.UsageReport`."""
-    return orjson.dumps({'window': report.window, 'counts': report.counts})
+    fields = {'window': report.window, 'counts': report.counts, 'era': era}
+    return orjson.dumps(fields)
 
 
 def decode_report(value):
@@ -41,14 +49,30 @@
 
     Raises `ValueError` for another value.
     """
+    window, counts, _ = _decode_fields(value)
+    return duty_calls.UsageReport(window, counts)
+
+
+def decode_era(value):
+    """Return the era in which a report was written, 0 if it is not known.
+
+    Raises `ValueError` for another value.
+    """
+    return _decode_fields(value)[2]
+
+
+def _decode_fields(value):
     try:
         data = orjson.loads(value)
         window, counts = data['window'], data['counts']
-    except (ValueError, LookupError, TypeError) as exc:
+        era = data.get('era', 0)
+    except (ValueError, LookupError, TypeError, AttributeError) as exc:
         raise ValueError(f'not a usage report: {exc!r}')
     if type(window) is not int or not isinstance(counts, dict):
         raise ValueError(f'not a usage report: window {window!r}')
-    return duty_calls.UsageReport(window, counts)
+    if type(era) is not int:
+        raise ValueError(f'not a usage report: era {era!r}')
+    return window, counts, era
 
 
 @attrs.define
@@ -111,19 +135,35 @@
             return
         item = await self.store.read(KEY)
         if item is None:
-            self.stored = Stored(0, None)
+            # A copy may be older than the first report.
+            is_copy = self.store.eras.has_changed
+            self.stored = Stored(0, self._last_ended() if is_copy else None)
             return
         try:
             report = decode_report(item.value)
+            is_copy = decode_era(item.value) < store_eras.era_of(item.revision)
         except ValueError as exc:
             logs.warning('usage_report_malformed', key=KEY, error=exc)
             # What was reported is unknown, so that only later windows are.
             now = self.windows.at(self.exchange.unix_s())
             self.stored = Stored(item.revision, now)
             return
-        self.stored = Stored(item.revision, report.window)
+        last = report.window
+        if is_copy:
+            last = max(last, self._last_ended())
+            self._drop(report.window + 1, last - report.window, 'unknown')
+        self.stored = Stored(item.revision, last)
         self.unsent = Unsent(report, -1)
 
+    def _last_ended(self):
+        """Return the last window that ended before this era was noticed.
+
+        A later one cannot have been reported in an earlier era.
+        """
+        exchange = self.exchange
+        ago_s = exchange.clock() - self.store.eras.since_s
+        return self.windows.at(exchange.unix_s() - ago_s) - 1
+
     async def _commit_next(self, holder):
         """Write the report of the next window, if it is to be closed."""
         unix_s = self.exchange.unix_s()
@@ -139,7 +179,9 @@
         counts = self.exchange.collector.totals(window)
         report = duty_calls.UsageReport(window, counts)
         revision = await self.store.swap(
-            KEY, encode_report(report), self.stored.revision
+            KEY,
+            encode_report(report, self.store.eras.era),
+            self.stored.revision,
         )
         if revision is None:
             # Another VM, or a write that was thought lost, was first.
@@ -162,6 +204,8 @@
         return max(window, oldest)
 
     def _drop(self, window, count, reason):
+        if count <= 0:
+            return
         self.metrics.add('usage_missed', count)
         logs.event(
             'usage_not_reported', window=window, windows=count, reason=reason
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -15,6 +15,7 @@
 from mangorock import directory as directories
 from mangorock import duty_calls
 from mangorock import duty_loop
+from mangorock import eras
 from mangorock import errors
 from mangorock import http
 from mangorock import leadership
@@ -53,6 +54,7 @@
         self.items, self.leases = {}, {}
         self.revision = 1
         self.faults = []
+        self.eras = eras.Eras()
 
     async def _call(self, function):
         await pause()
@@ -470,6 +472,8 @@
             *servers,
             config=test_accounts.make_config(),
             duties=terms,
+            # A lease of 1 s: the duties wait for one after a start.
+            order_spacing_s=0.5,
             peer_address=('127.0.0.1', ports.free_port()),
         )
         key = 'x-api-key', test_accounts.KEY
