Let the soak lose the newest writes of the store and narrow its links

Change: a task with random numbers of its own restores copies of the store up to 6 s old, some twice or while it is silent, lets the operator and the servers write again, and narrows the link of a VM while configurations come in quick succession; at the end each VM has the newest configuration and took none older. Seeds that failed before are played as they were.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -126,6 +126,8 @@
     def __init__(self):
         self.port = ports.free_port()
         self.items = {}
+        # The last write of each key, which a restore does not forget.
+        self.written = {}
         self.events = []
         self.revision = 1
         self.compacted_revision = 0
@@ -159,13 +161,14 @@
             'value': base64.b64encode(value).decode(),
             'revision': self.revision,
         }
-        self.items[key] = item
+        self.items[key] = self.written[key] = item
         self.events.append(item)
 
     def remove(self, key):
-        """Remove a key."""
+        """Remove a key, which a restore may have lost already."""
         self.revision += 1
-        del self.items[key]
+        self.items.pop(key, None)
+        self.written.pop(key, None)
         event = {'key': key, 'revision': self.revision, 'removed': True}
         self.events.append(event)
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,6 +24,7 @@
 from tests import soak_audit
 from tests import soak_backends
 from tests import soak_callers
+from tests import soak_history
 from tests import soak_limits
 from tests import soak_plans
 from tests import soak_proxy
@@ -59,7 +60,7 @@
 class Soak:
     """One seed: the fleet, the faults and the check of the recovery."""
 
-    def __init__(self, seed, vms, folder, has_limits=False):
+    def __init__(self, seed, vms, folder, has_limits=False, has_restores=True):
         self.seed = seed
         self.rng = soak_world.make_rng(seed, 'harm')
         self.checker = soak_world.InvariantChecker()
@@ -83,10 +84,13 @@
             vm.log_path.unlink(missing_ok=True)
         self.client = clients.Client()
         self.tasks = []
-        self.has_limits = has_limits
+        self.has_limits, self.has_restores = has_limits, has_restores
         self.replacements = soak_replacements.Replacements(
             self, soak_world.make_rng(seed, 'replace')
         )
+        self.history = soak_history.History(
+            self, soak_world.make_rng(seed, 'history')
+        )
         self.limits = soak_limits.Limits(
             self, soak_world.make_rng(seed, 'limit')
         )
@@ -146,6 +150,8 @@
             refuse = soak_backends.refuse_services
             await self.spawn(refuse, self.servers, rng, end_s)
             await self.spawn(self.replacements.run, end_s)
+            if self.has_restores:
+                await self.spawn(self.history.run, end_s)
             if self.has_limits:
                 await self.spawn(self.limits.run, end_s)
             while soak_world.now() < end_s:
@@ -153,6 +159,7 @@
                 await self.spawn(getattr(self, f'_{action}'))
                 await curio.sleep(self.rng.uniform(0.1, 1.2))
             await self._recover()
+            await self.history.check()
             self._check_processes()
         finally:
             await self.close()
@@ -331,6 +338,10 @@
         self.store.remove(f'servers/{server.name}')
 
     async def _config(self):
+        self.change_config()
+
+    def change_config(self):
+        """Write another configuration."""
         self.version += self.rng.randrange(1, 4)
         self.store.put('op/config', self.configs.make(self.version))
 
@@ -342,11 +353,13 @@
             await curio.sleep(self.rng.choice((0.0, 0.02, 0.3)))
 
 
-def run_seed(seed, seconds, vms=3, folder=None, has_limits=False):
+def run_seed(
+    seed, seconds, vms=3, folder=None, has_limits=False, has_restores=True
+):
     """Run one seed and return its `soak_world.InvariantChecker`."""
     with tempfile.TemporaryDirectory() as temporary:
         path = pathlib.Path(folder or temporary, f'{seed}')
-        soak = Soak(seed, vms, path, has_limits)
+        soak = Soak(seed, vms, path, has_limits, has_restores)
         curio.run(soak.run, seconds)
     return soak.checker
 
@@ -386,7 +399,9 @@
             f'excused {excused}; copies of refusals '
             f'{checker.counts["copies", "sent"]}, limits '
             f'{checker.counts["limit", "spells"]}, of them tested '
-            f'{checker.counts["limit", "counted"]}',
+            f'{checker.counts["limit", "counted"]}; store restored '
+            f'{checker.counts["store", "restored"]} times, link narrowed '
+            f'{checker.counts["link", "narrowed"]}',
             flush=True,
         )
         for line in checker.violations[:10]:
--- a/tests/soak_proxy.py
+++ b/tests/soak_proxy.py
@@ -11,6 +11,7 @@
 
 MODES = ('fine', 'delay', 'silence', 'one_way', 'refuse')
 DELAY_S = 0.15
+NARROW_BYTES_PER_S = 60_000
 READ_BYTES = 65536
 
 
@@ -19,9 +20,10 @@
     """Forwards connections to ``target``, a (host, port).
 
     ``mode`` applies to open and new connections: ``delay`` delays each chunk
-    of data, ``silence`` stops forwarding in both directions and ``one_way``
-    from the server to the client, both without closing the connection;
-    ``refuse`` resets new connections.
+    of data, ``narrow`` carries few bytes a second, ``silence`` stops
+    forwarding in both directions and ``one_way`` from the server to the
+    client, both without closing the connection; ``refuse`` resets new
+    connections.
     """
 
     target: tuple
@@ -92,6 +94,8 @@
                 data = await source.recv(READ_BYTES)
                 if not data:
                     break
+                if self.mode == 'narrow':
+                    await curio.sleep(len(data) / NARROW_BYTES_PER_S)
                 if self.mode == 'delay':
                     await curio.sleep(DELAY_S)
                 while self.mode == 'silence' or (
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -12,6 +12,7 @@
 import curio
 
 from mangorock import duty_calls
+from mangorock import eras
 from mangorock import errors
 from mangorock import isolation
 from mangorock import leadership
@@ -113,6 +114,34 @@
         # holder that believes in a lease which the copy does not have.
         self.assertIsNone(find_conflict())
 
+    def test_finds_tokens_without_an_era(self):
+        with mock.patch.object(
+            eras, 'make_position', lambda era, revision: revision
+        ):
+            self.assertIsNotNone(find_conflict())
+
+    def test_finds_a_leader_that_does_not_wait_for_the_earlier_leases(self):
+        with mock.patch.object(
+            eras.Eras, 'may_lead', lambda self, lease_s, now: True
+        ):
+            self.assertIsNotNone(find_conflict())
+
+    def test_finds_a_lease_of_an_earlier_era_that_is_kept(self):
+        def drop_expired(self):
+            if self.leadership.is_expired(self.clock()):
+                self.leadership.lose()
+            self.era = self.store.eras.era
+
+        with (
+            mock.patch.object(
+                leadership.LeaseHolder, 'drop_expired', drop_expired
+            ),
+            mock.patch.object(
+                fleet.stores.Store, '_check_lease', lambda self, lease: None
+            ),
+        ):
+            self.assertIsNotNone(find_conflict())
+
     def test_some_orders_are_sent_in_later_eras(self):
         leaders = Leaders(1)
         curio.run(leaders.run)
@@ -207,6 +236,17 @@
             found = reporters.find_contradiction()
             self.assertIsNone(found, f'seed {seed}')
 
+    def test_finds_a_window_that_is_reported_again(self):
+        with mock.patch.object(
+            usage_reports.UsageReports, '_last_ended', lambda self: 0
+        ):
+            found = None
+            for seed in range(SEEDS // 3):
+                reporters = Reporters(seed)
+                curio.run(reporters.run)
+                found = found or reporters.find_contradiction()
+            self.assertIsNotNone(found)
+
     def test_windows_are_reported_on_after_a_restore(self):
         # Guards against a caution that reports nothing any more.
         reporters = Reporters(2)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -256,6 +256,11 @@
         checker = soak.run_seed(seed=1, seconds=6.0)
         self.assertEqual([], checker.violations)
 
+    def test_no_violations_with_a_store_that_goes_back(self):
+        checker = soak.run_seed(seed=4, seconds=10.0)
+        self.assertEqual([], checker.violations)
+        self.assertTrue(checker.counts['store', 'restored'])
+
     def test_seeds_that_failed(self):
         for seed, has_limits, cause in (
             (1, False, 'SIGHUP during the handling of SIGHUP halted a VM'),
@@ -274,8 +279,12 @@
             (502, True, 'the limits that servers named were not read'),
         ):
             with self.subTest(seed=seed, cause=cause):
+                # As they were when they failed.
                 checker = soak.run_seed(
-                    seed, seconds=12.0, has_limits=has_limits
+                    seed,
+                    seconds=12.0,
+                    has_limits=has_limits,
+                    has_restores=False,
                 )
                 self.assertEqual([], checker.violations)
 
