Let the jobs of the duties begin anew when they first act

Callers would see: nothing yet; a report of an earlier tenure sent once more. Cause: jobs were reset where the token changed in the step in which it was won, and since the eras a holder may act only later than it wins. Change: they are reset at the first step with a token that they have not acted with. Evidence: test_jobs_begin_anew_when_the_holder_may_act_later failed before, [] in place of [7, 9], and passes; found in the read-through.

--- a/src/mangorock/duty_loop.py
+++ b/src/mangorock/duty_loop.py
@@ -40,6 +40,7 @@
     ``step(holder)`` each, called while this VM holds the duties, and
     ``reset()``, called when it begins to.  ``usage`` is the
     `usage_exchange.UsageExchange`, None where usage is not reported.
+    ``acted_fence`` is the token with which the jobs did something last.
     """
 
     endpoint: object
@@ -54,6 +55,7 @@
     sampled_s: float = float('-inf')
     tried_s: float = float('-inf')
     started_s: float | None = None
+    acted_fence: int | None = None
 
     async def run(self):
         """Sample the demand and do what is due, for ever."""
@@ -90,8 +92,9 @@
         self.tried_s = now
         if not await self.holder.ensure():
             return
-        if self.holder.fence != known_fence:
+        if self.holder.fence != self.acted_fence:
             # Another VM may have held the duties since.
+            self.acted_fence = self.holder.fence
             for job in self.jobs:
                 job.reset()
         for job in self.jobs:
--- a/tests/test_server_orders.py
+++ b/tests/test_server_orders.py
@@ -300,10 +300,15 @@
 
     vm = 'vm-1'
     fence = None
+    next_fence = 5
+    may = True
 
     async def ensure(self):
-        self.fence = 5
-        return True
+        self.fence = self.next_fence
+        return self.may
+
+    async def act(self, holder):
+        """Do nothing, as a job."""
 
     def drop_expired(self):
         """Keep the lease, which has not expired."""
@@ -357,6 +362,21 @@
         self.run_for(6, answers=False)
         self.assertEqual(5, self.holder.fence)
 
+    def test_jobs_begin_anew_when_the_holder_may_act_later(self):
+        # Guards against jobs that go on with what they knew in an earlier
+        # tenure, where the right is held before it may be used.
+        began = []
+        job = types.SimpleNamespace(
+            reset=lambda: began.append(self.holder.fence), step=self.holder.act
+        )
+        self.loop.jobs.append(job)
+        for fence in (7, 9):
+            self.holder.may, self.holder.next_fence = False, fence
+            self.run_for(4, answers=False)
+            self.holder.may = True
+            self.run_for(4, answers=False)
+        self.assertEqual([7, 9], began)
+
     def test_sample_is_answered_and_counted(self):
         answer = self.loop.on_message(
             messages.DemandSample('vm-9', [('s', 4, 10, 1, 2)])
