Show that a VM that starts on the copy of a store is ready with it

Callers would see: an older configuration from a VM that starts between the return of a restored store and the operator's next write.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -23,7 +23,9 @@
 from mangorock import usage_reports
 from tests import fleet
 from tests import test_front
+from tests import vm_fleet
 from tests import wire_store
+from tests import workers
 
 LEASE_S = 6.0
 KEY = 'mangorock/duties'
@@ -342,6 +344,28 @@
             )
 
 
+class Starting(unittest.TestCase):
+    """A VM that starts while the store has only the copy."""
+
+    @test_front.run
+    async def test_configuration_that_neighbours_know_is_not_forgotten(self):
+        # Guards against a VM that serves an older configuration than others.
+        worker = workers.Worker('w1', 'desk', workers.whole_response)
+        async with vm_fleet.VmFleet(2, worker) as cluster:
+            store, (neighbour, vm) = cluster.store, cluster.vms
+            copy = store.take_copy()
+            store.put('op/config', fleet.make_config(9))
+            await fleet.wait_until(
+                lambda: neighbour.front.gateway.catalog.version == 9, 5.0
+            )
+            await vm.front.close()
+            store.restore(copy)
+            await vm.start_front()
+            await curio.sleep(1.5)
+            version = vm.front.gateway.catalog.version
+            self.assertFalse(vm.front.is_ready and version < 9, version)
+
+
 class Calls(unittest.TestCase):
     """Single calls that an answer of another era meets."""
 
