--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -283,6 +283,14 @@
     )
 
 
+def has_read(daemon, store, revision=None):
+    """Say whether a daemon has read a revision, by default the newest."""
+    if revision is None:
+        revision = store.revision
+    newest = eras.make_position(store.era, revision)
+    return daemon.subscription.revision >= newest
+
+
 class HeldShare(presence.SlackShare):
     """The share of a VM that is alone and holds all of the slack."""
 
@@ -344,7 +352,7 @@
         """
         front, newest = self.front, self.store.revision
         async with curio.timeout_after(self.settings.config_s):
-            while eras.revision_of(front.subscription.revision) < newest:
+            while not has_read(front, self.store, newest):
                 await curio.sleep(0.01)
 
     def request_headers(self, *extra_headers):
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -259,9 +259,7 @@
                     server.name, server.born, server.limit = name, 2, None
                     store.put(f'servers/{name}', server.entry())
                     await fleet.wait_until(
-                        lambda: (
-                            vm.front.subscription.revision >= store.revision
-                        )
+                        lambda: fleet.has_read(vm.front, store)
                     )
                     after = [await cluster.call(vm) for _ in range(20)]
                 self.assertIn(503, statuses(before))
--- a/tests/test_slow_first_prompt.py
+++ b/tests/test_slow_first_prompt.py
@@ -30,9 +30,7 @@
             store.put(
                 f'servers/{busier.name}', busier.entry('draining', sequence=2)
             )
-            await fleet.wait_until(
-                lambda: vm.front.subscription.revision >= store.revision
-            )
+            await fleet.wait_until(lambda: fleet.has_read(vm.front, store))
             # One after the other, so that the engine is idle for each.
             after = [
                 await cluster.call(vm, '/ask/', fleet.prompt_headers())
