--- a/review/standins_2/store.py
+++ b/review/standins_2/store.py
@@ -18,13 +18,12 @@
 
 
 class Store:
-    """The store; `is_silent`, if set, makes it answer nothing."""
+    """The store; its first change gets the one after ``first_revision``."""
 
-    def __init__(self, record=lambda *fields: None):
-        self.record = record
+    def __init__(self, first_revision=100):
         self.items = {}
         self.events = []
-        self.revision = 100
+        self.revision = first_revision
         self.leases = {}
         self.last_lease = 0
         self.changed = asyncio.Event()
