--- a/review/standins_2/lab.py
+++ b/review/standins_2/lab.py
@@ -195,13 +195,17 @@
         """Start the store with a configuration and the VMs."""
         await self.store.start(f'{self.net}.1')
         self.store.put('op/config', config)
-        for number in range(self.vm_count):
-            ip = f'{self.net}.{10 + number}'
-            address = self.store.address
-            self.vms.append(
-                Vm(number, ip, address, self.folder, self.settings)
-            )
-            self.vms[-1].start()
+        for _ in range(self.vm_count):
+            self.add_vm()
+
+    def add_vm(self):
+        """Start one more VM and return it."""
+        number = len(self.vms)
+        ip, address = f'{self.net}.{10 + number}', self.store.address
+        vm = Vm(number, ip, address, self.folder, self.settings)
+        self.vms.append(vm)
+        vm.start()
+        return vm
 
     async def wait_until_ready(self):
         """Wait until each VM is ready and has announced itself."""
@@ -240,6 +244,8 @@
             lines.append(f'Content-Length: {len(body)}')
         answer = {'id': request_id, 'vm': vm.name, 'path': path}
         answer.update(status=0, whole=False, body=b'', error='')
+        names = dict(line.split(': ', 1) for line in headers)
+        answer['key'] = names.get('X-Api-Key', '')
         answer['sent_s'] = time.monotonic()
         self.answers.append(answer)
         self.record('sent', request_id, vm.name, method, path)
--- a/review/standins_2/store.py
+++ b/review/standins_2/store.py
@@ -24,6 +24,9 @@
         self.items = {}
         self.events = []
         self.revision = first_revision
+        self.first_known = first_revision
+        self.era = 1
+        self.is_away = False
         self.leases = {}
         self.last_lease = 0
         self.changed = asyncio.Event()
@@ -54,6 +57,24 @@
         self._write([], [key])
         return time.monotonic()
 
+    def take_copy(self):
+        """Return what `restore` brings back."""
+        return (
+            dict(self.items),
+            self.revision,
+            dict(self.leases),
+            self.last_lease,
+        )
+
+    def restore(self, found):
+        """Come back as the store was when a copy was taken, in a new era."""
+        items, self.revision, leases, self.last_lease = found
+        self.items, self.leases = dict(items), dict(leases)
+        self.events, self.first_known = [], self.revision
+        self.era += 1
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
     def _write(self, rows, removed):
         self.revision += 1
         for key, value, lease in rows:
@@ -94,8 +115,15 @@
     async def _handle(self, request, writer):
         path, _, query = request.target.partition('?')
         fields = urllib.parse.parse_qsl(query, keep_blank_values=True)
+        if self.is_away:
+            writer.transport.abort()
+            return
         status, data = await self._answer(request, path, dict(fields))
-        await web.respond(writer, status, json.dumps(data).encode())
+        if self.is_away:
+            writer.transport.abort()
+            return
+        body, era = json.dumps(data).encode(), f'Store-Era: {self.era}'
+        await web.respond(writer, status, body, era)
 
     async def _answer(self, request, path, query):
         if path == '/-/kv-key':
@@ -106,7 +134,7 @@
         if path == '/-/kv-range':
             return 200, self._page(query)
         if path == '/-/kv-watch':
-            return 200, await self._watch(query)
+            return await self._watch(query)
         data = json.loads(request.body or b'{}')
         if path == '/-/kv-lease':
             return 200, self._grant(data)
@@ -136,6 +164,8 @@
         end_s += int(query['waitMs']) / 1000
         while True:
             changed = self.changed
+            if not self.first_known <= after <= self.revision:
+                return 410, {}
             found = [
                 event
                 for event in self.events
@@ -144,7 +174,10 @@
             ]
             left_s = end_s - time.monotonic()
             if found or left_s <= 0:
-                return {'events': found, 'storeRevision': self.revision}
+                return 200, {
+                    'events': found,
+                    'storeRevision': self.revision,
+                }
             try:
                 await asyncio.wait_for(changed.wait(), left_s)
             except asyncio.TimeoutError:
